--- /dev/null
+++ b/cmd/hawthornturn-entry/main.go
@@ -0,0 +1,80 @@
+// Command hawthornturn-entry runs an entry host on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"hawthornturn/io/htlog"
+	htadapter "hawthornturn/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := newCommand().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cli.Command {
+	settings := &cli.StringFlag{Name: "settings", Value: htadapter.SettingsPath(), Usage: "settings `FILE` in the platform's format"}
+	return &cli.Command{
+		Name:  "hawthornturn-entry",
+		Usage: "entry host of hawthornturn on the users' platform",
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "serve until SIGTERM, then make a planned stop", Flags: []cli.Flag{settings}, Action: serve},
+			{Name: "validate", Usage: "check the settings and print what is wrong", Flags: []cli.Flag{settings}, Action: validate},
+		},
+	}
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	log := htlog.New(os.Stdout)
+	defer log.Close()
+	logrus.SetOutput(log)
+	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	path := c.String("settings")
+	settings, err := htadapter.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	go reload(ctx, path)
+	return htadapter.Run(ctx, settings)
+}
+
+// reload checks the settings again on SIGHUP. Addresses and bounds of a running process
+// stay; a file that can't be read changes nothing.
+func reload(ctx context.Context, path string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		line := logrus.WithFields(logrus.Fields{"event": "settings-reloaded", "path": path})
+		if _, err := htadapter.LoadSettings(path); err != nil {
+			line.WithError(err).Error("settings are invalid; the earlier ones stay")
+			continue
+		}
+		line.Info("settings checked")
+	}
+}
+
+func validate(_ context.Context, c *cli.Command) error {
+	if _, err := htadapter.LoadSettings(c.String("settings")); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(c.Root().Writer, "settings are valid")
+	return err
+}
--- a/core/htcall/outcome.go
+++ b/core/htcall/outcome.go
@@ -29,6 +29,7 @@
 	ReasonQuarantined    Reason = "quarantined"      // not-run
 	ReasonMoved          Reason = "moved"            // not-run; the shard has another owner
 	ReasonCutOff         Reason = "cut-off"          // not-run; the host holds no valid lease
+	ReasonColdLimit      Reason = "cold-limit"       // not-run; only cold upstreams are left
 	ReasonRefused        Reason = "refused"          // not-run; the upstream refused it unstarted
 	ReasonConnect        Reason = "connect-failed"   // not-run; no byte was sent
 	ReasonBroken         Reason = "broken"           // unknown; the connection broke after sending
--- /dev/null
+++ b/core/htcatalog/catalog.go
@@ -0,0 +1,54 @@
+package htcatalog
+
+import (
+	"strings"
+)
+
+// Catalog is a consistent set of declarations. It is not changed after New.
+type Catalog struct {
+	Config    *Config
+	Upstreams []Upstream
+	Out       map[string]bool // failure domains taken out
+
+	byHost   map[string][]*Route
+	services map[string]*Service
+}
+
+// New returns a Catalog of the declarations. Config may be nil.
+func New(config *Config, upstreams []Upstream, out map[string]bool) *Catalog {
+	c := &Catalog{
+		Config:    config,
+		Upstreams: upstreams,
+		Out:       out,
+		byHost:    map[string][]*Route{},
+		services:  map[string]*Service{},
+	}
+	if config == nil {
+		return c
+	}
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for i := range config.Services {
+		s := &config.Services[i]
+		c.services[s.Name] = s
+	}
+	return c
+}
+
+// Service returns the service of that name, or nil.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Match returns the route with the longest prefix of path among the routes of host,
+// or nil.
+func (c *Catalog) Match(host, path string) *Route {
+	var best *Route
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/htgroup/duty.go
@@ -0,0 +1,77 @@
+package htgroup
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// readers is the number of hosts that read the store at a time. One may be cut off
+// from the store without anybody noticing for the length of a long poll.
+const readers = 2
+
+// weight is the rendezvous weight of a host for a key.
+func weight(host, key uint64) uint64 {
+	var b [16]byte
+	for i := range 8 {
+		b[i] = byte(host >> (8 * i))
+		b[8+i] = byte(key >> (8 * i))
+	}
+	return xxhash.Sum64(b[:])
+}
+
+// Rank returns the position of this host among the running hosts for a key; 0 is the
+// first. If domain is not empty, hosts of that failure domain come first.
+func (g *Group) Rank(now time.Time, key uint64, domain string) int {
+	self := g.peers[g.self.Address]
+	own := weight(self.hash, key)
+	rank := 0
+	for _, p := range g.running(now) {
+		if p != self && g.before(p, self, weight(p.hash, key), own, domain) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (g *Group) before(p, self *peer, w, own uint64, domain string) bool {
+	if domain != "" && (p.Domain == domain) != (self.Domain == domain) {
+		return p.Domain == domain
+	}
+	return w > own
+}
+
+// RankAll is like Rank, but counts hosts that are not running too. It stays the same
+// while hosts fail, so that a duty with a bound over all hosts is never held by more
+// of them than the bound allows.
+func (g *Group) RankAll(key uint64) int {
+	self := g.peers[g.self.Address]
+	own := weight(self.hash, key)
+	rank := 0
+	for _, p := range g.peers {
+		if p != self && weight(p.hash, key) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Reads reports whether this host is to read the store: it is among the first hosts
+// in rank that the store serves. If the store serves nobody, it returns the rank of
+// this host among all, for a retry that is less frequent for later ones.
+func (g *Group) Reads(now time.Time) (reads bool, rank int) {
+	self := g.peers[g.self.Address]
+	key := xxhash.Sum64String("store-reader")
+	own := weight(self.hash, key)
+	served, better := 0, 0
+	for _, p := range g.running(now) {
+		if p == self || weight(p.hash, key) <= own {
+			continue
+		}
+		better++
+		if now.Sub(p.storeSeen) < StoreLimit {
+			served++
+		}
+	}
+	return served < readers, better
+}
--- /dev/null
+++ b/core/htgroup/group.go
@@ -0,0 +1,159 @@
+package htgroup
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// SilenceLimit is how long a host may be silent before its duties move. It is
+	// three beats, so that a lost datagram moves nothing.
+	SilenceLimit = 750 * time.Millisecond
+	// StoreLimit is the age of a reader's last answer from the store above which
+	// other hosts take up reading. A long poll that changes nothing answers once a
+	// second.
+	StoreLimit = 1350 * time.Millisecond
+)
+
+// Member is one entry host.
+type Member struct {
+	Name    string         `json:"name"`
+	Address netip.AddrPort `json:"address"`
+	Domain  string         `json:"domain"`
+}
+
+// peer is a member with what was last heard of it.
+type peer struct {
+	Member
+	hash      uint64
+	heard     time.Time
+	storeSeen time.Time // its last answer from the store
+	leaving   bool
+}
+
+// Group holds the members. It is not safe for concurrent use.
+type Group struct {
+	self  Member
+	start time.Time
+	peers map[netip.AddrPort]*peer
+}
+
+// New returns a Group of self alone.
+func New(self Member, now time.Time) *Group {
+	g := &Group{self: self, start: now, peers: map[netip.AddrPort]*peer{}}
+	g.Add(self)
+	return g
+}
+
+// Add makes a host known. It counts as running once it was heard.
+func (g *Group) Add(m Member) {
+	if p := g.peers[m.Address]; p != nil {
+		if p.Name == "" && m.Name != "" {
+			p.Member = m
+		}
+		return
+	}
+	key := m.Address.Addr().String()
+	g.peers[m.Address] = &peer{Member: m, hash: xxhash.Sum64String(key)}
+}
+
+// Heard notes a message from a host. StoreAge is the age of its last answer from the
+// store, or negative if it has none. It reports whether the host counted as silent.
+func (g *Group) Heard(now time.Time, m Member, storeAge time.Duration, leaving bool) bool {
+	g.Add(m)
+	p := g.peers[m.Address]
+	silent := !p.alive(now)
+	p.heard = now
+	p.leaving = leaving
+	if storeAge >= 0 {
+		p.storeSeen = now.Add(-storeAge)
+	}
+	return silent
+}
+
+// StoreAnswered notes an answer of the store to this host.
+func (g *Group) StoreAnswered(now time.Time) { g.peers[g.self.Address].storeSeen = now }
+
+// StoreRefused notes that the store does not serve this host.
+func (g *Group) StoreRefused() { g.peers[g.self.Address].storeSeen = time.Time{} }
+
+// StoreAge returns the age of this host's last answer from the store, or a negative
+// value if there is none.
+func (g *Group) StoreAge(now time.Time) time.Duration {
+	seen := g.peers[g.self.Address].storeSeen
+	if seen.IsZero() {
+		return -1
+	}
+	return now.Sub(seen)
+}
+
+// StoreContact returns the time of the last answer of the store to any running host.
+func (g *Group) StoreContact(now time.Time) time.Time {
+	var last time.Time
+	for _, p := range g.peers {
+		if (p.Address == g.self.Address || p.alive(now)) && p.storeSeen.After(last) {
+			last = p.storeSeen
+		}
+	}
+	return last
+}
+
+func (p *peer) alive(now time.Time) bool {
+	return !p.heard.IsZero() && now.Sub(p.heard) < SilenceLimit
+}
+
+// running lists the hosts that hold duties, this one included.
+func (g *Group) running(now time.Time) []*peer {
+	list := make([]*peer, 0, len(g.peers))
+	for _, p := range g.peers {
+		if p.Address == g.self.Address || (p.alive(now) && !p.leaving) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// Size returns the number of running hosts.
+func (g *Group) Size(now time.Time) int { return len(g.running(now)) }
+
+// Others returns the members other than this host, running ones first. Quiet ones
+// are those that were not heard within the silence limit.
+func (g *Group) Others(now time.Time) (running, quiet []Member) {
+	for _, p := range g.peers {
+		switch {
+		case p.Address == g.self.Address:
+		case p.alive(now):
+			running = append(running, p.Member)
+		default:
+			quiet = append(quiet, p.Member)
+		}
+	}
+	slices.SortFunc(running, compareMembers)
+	slices.SortFunc(quiet, compareMembers)
+	return running, quiet
+}
+
+func compareMembers(a, b Member) int { return a.Address.Compare(b.Address) }
+
+// Drop forgets a host that was not heard for longer than limit, if it is not this
+// one.
+func (g *Group) Drop(now time.Time, limit time.Duration) []Member {
+	var dropped []Member
+	for a, p := range g.peers {
+		if a != g.self.Address && now.Sub(later(p.heard, g.start)) > limit {
+			dropped = append(dropped, p.Member)
+			delete(g.peers, a)
+		}
+	}
+	return dropped
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/htrelay/call.go
@@ -0,0 +1,72 @@
+package htrelay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htcatalog"
+)
+
+// Call is a request of a caller. Its body is held in memory.
+type Call struct {
+	ID       string
+	Method   string
+	Host     string
+	URI      string
+	Header   http.Header
+	Body     []byte
+	Route    *htcatalog.Route
+	Arrived  time.Time
+	Deadline time.Time
+}
+
+// fingerprint identifies the request for crash counting: the same request sent again
+// has the same fingerprint, although its id differs.
+func (c *Call) fingerprint() uint64 {
+	h := xxhash.New()
+	for _, part := range []string{c.Method, c.Host, c.URI} {
+		_, _ = h.WriteString(part) // a Digest never fails to write
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(c.Body)
+	return h.Sum64()
+}
+
+// Answer is what the caller is told.
+type Answer struct {
+	Outcome    htcall.Outcome
+	Reason     htcall.Reason
+	Status     int
+	Header     http.Header // the upstream's, or nil
+	Body       []byte
+	RetryAfter time.Duration // for refusals
+	Trace      Trace
+}
+
+// Trace says how the answer came about, for the log line of the call.
+type Trace struct {
+	Service  string
+	Upstream string
+	Sends    int
+	Hedges   int
+	Speed    float64
+	Load     float64
+	Age      time.Duration
+	Expected time.Duration
+	Detail   string
+}
+
+func refusal(reason htcall.Reason, after time.Duration) *Answer {
+	return &Answer{Outcome: htcall.NotRun, Reason: reason, Status: http.StatusServiceUnavailable, RetryAfter: after}
+}
+
+func undecided(reason htcall.Reason) *Answer {
+	status := http.StatusBadGateway
+	if reason == htcall.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	return &Answer{Outcome: htcall.Unknown, Reason: reason, Status: status}
+}
--- /dev/null
+++ b/core/htrelay/relay.go
@@ -0,0 +1,80 @@
+package htrelay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htselect"
+)
+
+// Relay runs calls. It is safe for concurrent use.
+type Relay struct {
+	mu       sync.Mutex
+	selector *htselect.Selector
+	crashes  *crashes
+	sender   Sender
+	events   Events
+	now      func() time.Time
+}
+
+// New returns a Relay. It takes over the selector: all later use must go through Do.
+func New(selector *htselect.Selector, reporter string, sender Sender, events Events, now func() time.Time) *Relay {
+	return &Relay{
+		selector: selector,
+		crashes:  newCrashes(reporter),
+		sender:   sender,
+		events:   events,
+		now:      now,
+	}
+}
+
+// Do runs f while no other goroutine uses the selector.
+func (r *Relay) Do(f func(s *htselect.Selector)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.selector)
+}
+
+// Observe takes in a report and tells other hosts if it changes choices.
+func (r *Relay) Observe(at time.Time, o htselect.Observation) {
+	r.mu.Lock()
+	differs := r.selector.Observe(at, o)
+	if o.Down {
+		r.crashes.down(at, o.Upstream)
+	}
+	r.mu.Unlock()
+	if differs {
+		r.events.Observed(o)
+	}
+}
+
+// Learn takes in a report of another host.
+func (r *Relay) Learn(at time.Time, o htselect.Observation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.selector.Observe(at, o)
+	if o.Down {
+		r.crashes.down(at, o.Upstream)
+	}
+}
+
+// Serve runs a call and returns what its caller is told.
+func (r *Relay) Serve(ctx context.Context, call *Call) *Answer {
+	now := r.now()
+	r.mu.Lock()
+	blocked := r.crashes.blocked(now, call.fingerprint())
+	service := ""
+	if !blocked {
+		service = r.selector.Part(now, call.Route)
+	}
+	r.mu.Unlock()
+	if blocked {
+		return refusal(htcall.ReasonQuarantined, 0)
+	}
+	run := newRun(r, call, service)
+	answer := run.serve(ctx)
+	answer.Trace.Service = service
+	return answer
+}
--- /dev/null
+++ b/core/htrelay/run.go
@@ -0,0 +1,255 @@
+package htrelay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htselect"
+)
+
+const (
+	// maxSends bounds the sends of one call, with those that upstreams refused.
+	maxSends = 4
+	// minRetryShare is the share of the usual work time that must be left for
+	// another send.
+	minRetryShare = 0.5
+	// hedgeDeviations is how many mean deviations beyond the expected time an answer
+	// must be late before a second upstream is asked.
+	hedgeFactor = 1.5
+	// hedgeFloor keeps short calls from being hedged because of a late timer.
+	hedgeFloor = 15 * time.Millisecond
+)
+
+// run is one call under way.
+type run struct {
+	relay   *Relay
+	call    *Call
+	service string
+	results chan result
+	tried   []string
+	open    int // sends without a result
+	ran     int // sends that ran or may have run
+	sends   int
+	hedges  int
+	failed  *Answer // an answer to fall back on
+	broken  bool    // a send ended without saying whether it ran
+	last    *htselect.Choice
+}
+
+type result struct {
+	choice *htselect.Choice
+	reply  Reply
+}
+
+func newRun(r *Relay, call *Call, service string) *run {
+	return &run{relay: r, call: call, service: service, results: make(chan result, maxSends+1)}
+}
+
+// serve sends the call until it has an answer, its time is over or its caller left.
+func (r *run) serve(ctx context.Context) *Answer {
+	sendCtx, cancel := r.sendContext(ctx)
+	defer cancel()
+	if refused := r.send(sendCtx); refused != nil {
+		return r.trace(r.refused(refused))
+	}
+	deadline := time.NewTimer(r.call.Deadline.Sub(r.relay.now()))
+	defer deadline.Stop()
+	hedge := time.NewTimer(r.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case res := <-r.results:
+			if answer := r.take(sendCtx, res); answer != nil {
+				return r.trace(answer)
+			}
+		case <-hedge.C:
+			r.hedge(sendCtx)
+		case <-deadline.C:
+			return r.trace(r.expired())
+		case <-ctx.Done():
+			return r.trace(undecided(htcall.ReasonCanceled))
+		}
+	}
+}
+
+// sendContext returns the context of sends. An idempotent call is canceled when its
+// caller leaves. Another one goes on, since it may have taken effect already.
+func (r *run) sendContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	base, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.call.Deadline)
+	if !r.call.Route.Idempotent {
+		return base, func() {
+			if r.open == 0 {
+				cancel()
+			}
+		}
+	}
+	stop := context.AfterFunc(ctx, cancel)
+	return base, func() {
+		stop()
+		if r.open == 0 || ctx.Err() != nil {
+			cancel()
+		}
+	}
+}
+
+// send chooses an upstream and sends the call there.
+func (r *run) send(ctx context.Context) *htselect.Refused {
+	now := r.relay.now()
+	r.relay.mu.Lock()
+	choice, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
+	if refused == nil {
+		r.relay.selector.Sent(now, choice)
+	}
+	r.relay.mu.Unlock()
+	if refused != nil {
+		return refused
+	}
+	r.tried = append(r.tried, choice.Upstream.ID)
+	r.open++
+	r.sends++
+	r.last = choice
+	go func() {
+		reply := r.relay.sender.Send(ctx, choice.Upstream, r.call.Deadline, r.call)
+		r.relay.settle(r.call, choice, reply)
+		r.results <- result{choice, reply}
+	}()
+	return nil
+}
+
+// take handles the result of one send. It returns the answer if the call is over.
+func (r *run) take(ctx context.Context, res result) *Answer {
+	r.open--
+	switch reply := res.reply.(type) {
+	case Answered:
+		r.ran++
+		answer := &Answer{Outcome: htcall.Done, Status: reply.Status, Header: reply.Header, Body: reply.Body}
+		if reply.Status < http.StatusInternalServerError {
+			r.last = res.choice
+			return answer
+		}
+		r.failed = answer
+		if r.again(ctx, true) || r.open > 0 {
+			return nil
+		}
+		return answer
+	case Refused:
+		if r.again(ctx, true) || r.open > 0 {
+			return nil
+		}
+		return r.over(htcall.ReasonRefused)
+	case NotSent:
+		if r.again(ctx, false) || r.open > 0 {
+			return nil
+		}
+		return r.over(htcall.ReasonConnect)
+	case Broken:
+		r.ran++
+		r.broken = true
+		if r.again(ctx, true) || r.open > 0 {
+			return nil
+		}
+		return r.over(htcall.ReasonBroken)
+	}
+	return undecided(htcall.ReasonInternal)
+}
+
+// again sends the call once more if that is allowed and may help. Counted sends need
+// a token of the retry budget.
+func (r *run) again(ctx context.Context, counted bool) bool {
+	if !r.mayRepeat() || r.sends >= maxSends {
+		return false
+	}
+	now := r.relay.now()
+	left := r.call.Deadline.Sub(now)
+	if r.last != nil && float64(left) < minRetryShare*float64(r.last.Work) {
+		return false
+	}
+	if counted {
+		r.relay.mu.Lock()
+		allowed := r.relay.selector.Retry(now, r.service)
+		r.relay.mu.Unlock()
+		if !allowed {
+			return false
+		}
+	}
+	return r.send(ctx) == nil
+}
+
+// mayRepeat reports whether one more upstream may run the call.
+func (r *run) mayRepeat() bool {
+	if r.call.Route.Idempotent {
+		return r.ran+r.open < max(r.call.Route.Attempts, 1)
+	}
+	return r.ran+r.open == 0
+}
+
+// hedgeDelay returns how long the first answer may take before a second upstream is
+// asked.
+func (r *run) hedgeDelay() time.Duration {
+	if !r.call.Route.Idempotent || r.last == nil {
+		return time.Until(r.call.Deadline) + time.Hour
+	}
+	expected := max(r.last.Expected, r.last.Work)
+	return max(time.Duration(hedgeFactor*float64(expected)), r.last.Work+hedgeFloor)
+}
+
+// hedge asks a second upstream.
+func (r *run) hedge(ctx context.Context) {
+	if r.open != 1 {
+		return
+	}
+	if r.again(ctx, true) {
+		r.hedges++
+	}
+}
+
+// over returns the answer of a call that can't be sent any more.
+func (r *run) over(reason htcall.Reason) *Answer {
+	switch {
+	case r.failed != nil:
+		return r.failed
+	case r.broken:
+		return undecided(htcall.ReasonBroken)
+	}
+	return refusal(reason, r.comeBack())
+}
+
+// refused returns the answer of a call for which no upstream was chosen at first.
+func (r *run) refused(why *htselect.Refused) *Answer {
+	return refusal(why.Reason, why.RetryAfter)
+}
+
+// comeBack returns when a refused caller may try again: after the usual work time of
+// the route a slot has become free.
+func (r *run) comeBack() time.Duration {
+	if r.last == nil {
+		return time.Second
+	}
+	return r.last.Work
+}
+
+// expired returns the answer of a call whose time is over.
+func (r *run) expired() *Answer {
+	switch {
+	case r.failed != nil:
+		return r.failed
+	case r.open > 0 || r.broken:
+		return undecided(htcall.ReasonDeadline)
+	}
+	return refusal(htcall.ReasonDeadline, r.comeBack())
+}
+
+func (r *run) trace(a *Answer) *Answer {
+	a.Trace.Sends = r.sends
+	a.Trace.Hedges = r.hedges
+	if c := r.last; c != nil {
+		a.Trace.Upstream = c.Upstream.ID
+		a.Trace.Speed = c.Speed
+		a.Trace.Load = c.Load
+		a.Trace.Age = c.Age
+		a.Trace.Expected = c.Expected
+	}
+	return a
+}
--- /dev/null
+++ b/core/htrelay/settle.go
@@ -0,0 +1,69 @@
+package htrelay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"hawthornturn/core/htselect"
+)
+
+// settle takes in what one send showed of its upstream.
+func (r *Relay) settle(call *Call, c *htselect.Choice, reply Reply) {
+	now := r.now()
+	fault := htselect.Fault{Upstream: c.Upstream.Ref()}
+	var report *htselect.Observation
+	r.mu.Lock()
+	r.selector.Ended(c)
+	switch reply := reply.(type) {
+	case Answered:
+		report = reply.Report
+		if reply.Status >= http.StatusInternalServerError {
+			fault.Weight = htselect.FaultError
+		} else {
+			fault = r.selector.Answered(c, reply.Work, len(reply.Body))
+		}
+	case Refused:
+		report = reply.Report
+		r.selector.RefusedBy(now, c)
+		if reply.Misplaced {
+			r.selector.Misplaced(c)
+		}
+	case NotSent:
+		switch {
+		case reply.Refused:
+			down := r.selector.Unreachable(now, c)
+			r.crashes.down(now, down.Upstream)
+			defer r.events.Observed(down)
+		case reply.Silent:
+			fault.Weight = htselect.FaultSilent
+		}
+	case Broken:
+		fault.Weight = brokenWeight(call, now, reply)
+		if reply.Reset {
+			r.crashes.broke(now, call.fingerprint(), c.Upstream.Ref())
+		}
+	}
+	r.selector.Faulty(now, fault)
+	r.mu.Unlock()
+	if fault.Weight > 0 {
+		r.events.Faulty(fault)
+	}
+	if report != nil {
+		report.Upstream = c.Upstream.Ref()
+		r.Observe(now, *report)
+	}
+}
+
+// brokenWeight returns the fault of a send that ended without an answer. A caller
+// that left early says nothing about the upstream.
+func brokenWeight(call *Call, now time.Time, reply Broken) float64 {
+	if errors.Is(reply.Err, context.Canceled) {
+		return 0
+	}
+	if now.Before(call.Deadline) {
+		return htselect.FaultError
+	}
+	return htselect.FaultSilent
+}
--- /dev/null
+++ b/core/htselect/choice.go
@@ -0,0 +1,178 @@
+package htselect
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htcatalog"
+)
+
+const (
+	// kneeShare is the share of busy slots from which an upstream works slower, and
+	// kneeFactor how much.
+	kneeShare  = 0.8
+	kneeFactor = 1.5
+	// coldFactor is how much slower a cold upstream works.
+	coldFactor = 2.0
+	// queuePlaces is how many calls beyond its slots an upstream is sent. Some
+	// upstreams never answer a request that they can't queue.
+	queuePlaces = 2
+	// distanceShare of the target is added for an upstream in another failure domain,
+	// and byteShare of it for each kilobyte of the answer: bytes between failure
+	// domains are paid for.
+	distanceShare = 0.04
+	byteShare     = 0.02
+	// faultFactor is how much a recent fault adds, in units of the target.
+	faultFactor = 1.5
+	// illShare of the target is added for an upstream that calls itself ill. Its word
+	// may be wrong either way, so it is used when the others are late too.
+	illShare = 2.0
+	// jitter spreads the choices of hosts that know the same, as a share of the score.
+	jitter = 0.04
+	// refusalPause is how long an upstream that refused a call gets none.
+	refusalPause = 60 * time.Millisecond
+	// retryAfterMin and retryAfterMax bound what a caller is told to wait.
+	retryAfterMin = 50 * time.Millisecond
+	retryAfterMax = time.Second
+)
+
+// Choice is the upstream for one send, with the inputs of the decision.
+type Choice struct {
+	Upstream htcatalog.Upstream
+	Expected time.Duration // until the answer
+	Work     time.Duration // usual work time of the route
+	Speed    float64       // factor of the usual work time
+	Load     float64
+	Age      time.Duration // of the report; negative if there is none
+	Cold     bool
+
+	state *upstream
+	route *route
+}
+
+// Refused says why no upstream was chosen and when a caller may come back.
+type Refused struct {
+	Reason     htcall.Reason
+	RetryAfter time.Duration
+}
+
+// Choose returns the upstream of the service with the lowest expected completion time
+// for a call on the route with that much time left, or says why there is none. Tried
+// upstreams are left out.
+func (s *Selector) Choose(now time.Time, r *htcatalog.Route, serviceName string, left time.Duration, tried []string) (*Choice, *Refused) {
+	sv := s.services[serviceName]
+	if sv == nil || len(sv.upstreams) == 0 {
+		return nil, &Refused{Reason: htcall.ReasonNoUpstream, RetryAfter: retryAfterMax}
+	}
+	state := s.route(r)
+	var best *upstream
+	bestScore := math.Inf(1)
+	full, cold := false, false
+	wait := retryAfterMax
+	for _, u := range sv.upstreams {
+		if !s.usable(now, u) || slices.Contains(tried, u.declared.ID) {
+			continue
+		}
+		if u.cold(now) {
+			if next := s.coldNext(now, u, sv.declared); next > 0 {
+				cold, wait = true, min(wait, next)
+				continue
+			}
+		}
+		if u.load(now) >= float64(u.slots()+queuePlaces) || now.Before(u.avoid) {
+			full = true
+			wait = min(wait, time.Duration(state.work.mean*u.speed(now)))
+			continue
+		}
+		score := s.score(now, u, r, state) * (1 + jitter*s.rng.Float64())
+		if score < bestScore {
+			best, bestScore = u, score
+		}
+	}
+	wait = max(wait, retryAfterMin)
+	switch {
+	case best == nil && full:
+		return nil, &Refused{Reason: htcall.ReasonQueueFull, RetryAfter: wait}
+	case best == nil && cold:
+		return nil, &Refused{Reason: htcall.ReasonColdLimit, RetryAfter: wait}
+	case best == nil:
+		return nil, &Refused{Reason: htcall.ReasonNoUpstream, RetryAfter: retryAfterMax}
+	}
+	if best.wait(now, state.work.mean) > float64(left) {
+		return nil, &Refused{Reason: htcall.ReasonDeadline, RetryAfter: max(retryAfterMin, time.Duration(best.wait(now, state.work.mean))/2)}
+	}
+	return s.choice(now, best, state), nil
+}
+
+func (s *Selector) choice(now time.Time, u *upstream, state *route) *Choice {
+	age := time.Duration(-1)
+	if !u.seen.IsZero() {
+		age = now.Sub(u.seen)
+	}
+	return &Choice{
+		Upstream: u.declared,
+		Expected: time.Duration(u.completion(now, state.work.mean)),
+		Work:     time.Duration(state.work.mean),
+		Speed:    u.speed(now),
+		Load:     u.load(now),
+		Age:      age,
+		Cold:     u.cold(now),
+		state:    u,
+		route:    state,
+	}
+}
+
+// usable reports whether u may get work at all.
+func (s *Selector) usable(now time.Time, u *upstream) bool {
+	if u.declared.Draining || u.misplaced || s.catalog.Out[u.declared.Domain] {
+		return false
+	}
+	return !u.report.Down
+}
+
+func (u *upstream) slots() int {
+	switch {
+	case u.report.Slots > 0:
+		return u.report.Slots
+	case u.declared.Slots > 0:
+		return u.declared.Slots
+	}
+	return 1
+}
+
+// wait returns the expected time in the queue of u, in nanoseconds.
+func (u *upstream) wait(now time.Time, mean float64) float64 {
+	slots := float64(u.slots())
+	excess := u.load(now) + 1 - slots
+	if excess <= 0 {
+		return 0
+	}
+	return excess / slots * mean * u.speed(now)
+}
+
+// completion returns the expected time until the answer, in nanoseconds.
+func (u *upstream) completion(now time.Time, mean float64) float64 {
+	work := mean * u.speed(now)
+	if u.load(now)+1 > kneeShare*float64(u.slots()) {
+		work *= kneeFactor
+	}
+	if u.cold(now) {
+		work *= coldFactor
+	}
+	return work + u.wait(now, mean)
+}
+
+// score is the completion time with what speaks against the upstream.
+func (s *Selector) score(now time.Time, u *upstream, r *htcatalog.Route, state *route) float64 {
+	target := float64(r.Target)
+	score := u.completion(now, state.work.mean)
+	if u.declared.Domain != s.domain {
+		score += target * (distanceShare + byteShare*state.work.bytes/1000)
+	}
+	if u.report.Ill {
+		score += illShare * target
+	}
+	return score + faultFactor*target*u.fault(now)
+}
--- /dev/null
+++ b/core/htselect/observation.go
@@ -0,0 +1,48 @@
+package htselect
+
+import (
+	"time"
+
+	"hawthornturn/core/htcatalog"
+)
+
+// Observation is what an upstream said of itself, or that it said nothing.
+type Observation struct {
+	Upstream htcatalog.Ref
+	Speed    int // how long work takes now, in percent of the usual; 0 if not told
+	Running  int
+	Waiting  int
+	Slots    int
+	Cold     time.Duration // how long the upstream stays cold
+	Down     bool          // it accepts no connection
+	Ill      bool          // its health path reports a failure
+}
+
+// Differs reports whether o changes a choice that was made by p.
+func (o Observation) Differs(p Observation) bool {
+	switch {
+	case o.Down != p.Down, o.Ill != p.Ill, (o.Cold > 0) != (p.Cold > 0):
+		return true
+	case (o.Running+o.Waiting >= o.Slots) != (p.Running+p.Waiting >= p.Slots):
+		return true
+	}
+	a, b := max(o.Speed, 1), max(p.Speed, 1)
+	return a*speedStep > b*100 || b*speedStep > a*100
+}
+
+// speedStep is the change of the speed, in percent, that other hosts are told at
+// once. Smaller ones go along with the next beat.
+const speedStep = 135
+
+// Fault is a failure that a call showed, as told to other hosts.
+type Fault struct {
+	Upstream htcatalog.Ref
+	Weight   float64
+}
+
+// Weights of faults, in failed calls.
+const (
+	FaultError  = 1.0 // the upstream failed, broke off or spoilt an answer
+	FaultSilent = 1.0 // no answer until the deadline
+	FaultSlow   = 0.4 // much slower than its report said
+)
--- /dev/null
+++ b/core/htselect/selector.go
@@ -0,0 +1,172 @@
+package htselect
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hawthornturn/core/htcatalog"
+)
+
+// Group tells how the hosts divide duties. htgroup.Group implements it.
+type Group interface {
+	Size(now time.Time) int
+	RankAll(key uint64) int
+}
+
+// Selector chooses upstreams.
+type Selector struct {
+	domain    string
+	group     Group
+	rng       *rand.Rand
+	catalog   *htcatalog.Catalog
+	upstreams map[string]*upstream
+	byRef     map[htcatalog.Ref]*upstream
+	services  map[string]*service
+	routes    map[string]*route
+	retry     RetryLimit
+}
+
+// service is the state of one service on this host.
+type service struct {
+	declared  htcatalog.Service
+	upstreams []*upstream
+	budget    *retryBudget
+}
+
+// route is the state of one route on this host.
+type route struct {
+	work    *work
+	credits []float64 // by part, of the smooth weighted round robin
+}
+
+// New returns a Selector for a host in a failure domain.
+func New(domain string, group Group, retry RetryLimit, rng *rand.Rand) *Selector {
+	return &Selector{
+		domain:    domain,
+		group:     group,
+		rng:       rng,
+		catalog:   htcatalog.New(nil, nil, nil),
+		upstreams: map[string]*upstream{},
+		byRef:     map[htcatalog.Ref]*upstream{},
+		services:  map[string]*service{},
+		routes:    map[string]*route{},
+		retry:     retry,
+	}
+}
+
+// Catalog returns the declarations in use.
+func (s *Selector) Catalog() *htcatalog.Catalog { return s.catalog }
+
+// Apply takes in new declarations.
+func (s *Selector) Apply(now time.Time, c *htcatalog.Catalog) {
+	s.catalog = c
+	s.byRef = make(map[htcatalog.Ref]*upstream, len(c.Upstreams))
+	kept := make(map[string]*upstream, len(c.Upstreams))
+	for _, sv := range s.services {
+		sv.upstreams = sv.upstreams[:0]
+	}
+	for _, d := range c.Upstreams {
+		declared := c.Service(d.Service)
+		if declared == nil {
+			continue
+		}
+		u := s.upstreams[d.ID]
+		if u == nil || u.declared.Started != d.Started || u.declared.Address != d.Address {
+			u = newUpstream(now, d)
+		}
+		u.declared = d
+		kept[d.ID] = u
+		s.byRef[u.ref] = u
+		sv := s.service(now, *declared)
+		sv.upstreams = append(sv.upstreams, u)
+	}
+	s.upstreams = kept
+}
+
+func (s *Selector) service(now time.Time, d htcatalog.Service) *service {
+	sv := s.services[d.Name]
+	if sv == nil {
+		sv = &service{budget: newRetryBudget(s.retry, now)}
+		s.services[d.Name] = sv
+	}
+	sv.declared = d
+	return sv
+}
+
+func (s *Selector) route(r *htcatalog.Route) *route {
+	state := s.routes[r.Name]
+	if state == nil {
+		state = &route{work: newWork(r.Target)}
+		s.routes[r.Name] = state
+	}
+	if len(state.credits) != len(r.Parts) {
+		state.credits = make([]float64, len(r.Parts))
+		for i := range state.credits {
+			// Hosts start at different points of the cycle, so that few requests on
+			// each of many hosts keep the shares too.
+			state.credits[i] = s.rng.Float64()
+		}
+	}
+	return state
+}
+
+// Part chooses the service for a new call on a route by smooth weighted round robin
+// and counts the call as a first try there. It returns an empty name if there is no
+// part.
+func (s *Selector) Part(now time.Time, r *htcatalog.Route) string {
+	if len(r.Parts) == 0 {
+		return ""
+	}
+	state := s.route(r)
+	best, total := 0, 0.0
+	for _, p := range r.Parts {
+		total += float64(p.Weight)
+	}
+	for i, p := range r.Parts {
+		state.credits[i] += float64(p.Weight) / total
+		if state.credits[i] > state.credits[best] {
+			best = i
+		}
+	}
+	state.credits[best]--
+	name := r.Parts[best].Service
+	if sv := s.services[name]; sv != nil {
+		sv.budget.earn(now)
+	}
+	return name
+}
+
+// Observe takes in a report of an upstream that was valid at a time. It reports
+// whether the report changes choices.
+func (s *Selector) Observe(at time.Time, o Observation) bool {
+	u := s.byRef[o.Upstream]
+	if u == nil {
+		return false
+	}
+	differs := o.Differs(u.report) || u.seen.IsZero()
+	u.observe(at, o)
+	return differs
+}
+
+// Confirm says that the report of an upstream was still valid at a time.
+func (s *Selector) Confirm(at time.Time, ref htcatalog.Ref) {
+	if u := s.byRef[ref]; u != nil && at.After(u.seen) {
+		u.seen = at
+	}
+}
+
+// Faulty counts a failure that this or another host saw.
+func (s *Selector) Faulty(now time.Time, f Fault) {
+	if u := s.byRef[f.Upstream]; u != nil && f.Weight > 0 && f.Weight <= FaultError {
+		u.addFault(now, f.Weight)
+	}
+}
+
+// Report returns the newest report of an upstream and the time at which it was valid.
+func (s *Selector) Report(ref htcatalog.Ref) (Observation, time.Time) {
+	u := s.byRef[ref]
+	if u == nil {
+		return Observation{Upstream: ref}, time.Time{}
+	}
+	return u.report, u.seen
+}
--- /dev/null
+++ b/core/htselect/send.go
@@ -0,0 +1,49 @@
+package htselect
+
+import "time"
+
+// slowFactor is how many times the expected work time an answer may take before it
+// counts against the upstream.
+const slowFactor = 3.0
+
+// Sent says that a call is being sent to the chosen upstream.
+func (s *Selector) Sent(now time.Time, c *Choice) {
+	c.state.inFlight++
+	c.state.sentSince++
+	if c.state.cold(now) {
+		c.state.coldSent = now
+	}
+}
+
+// Ended says that the call is no longer at the upstream, whatever came of it.
+func (s *Selector) Ended(c *Choice) {
+	c.state.inFlight--
+	if c.state.doneSince < c.state.sentSince {
+		c.state.doneSince++
+	}
+}
+
+// Answered says how long the upstream worked on a call and how long the answer is. It
+// returns the fault that this shows, of weight 0 if there is none.
+func (s *Selector) Answered(c *Choice, took time.Duration, bytes int) Fault {
+	expected := float64(max(c.Expected, c.Work))
+	c.route.work.add(took, max(c.Speed, float64(c.Expected)/max(1, float64(c.Work))), bytes)
+	if float64(took) > slowFactor*expected {
+		return Fault{Upstream: c.state.ref, Weight: FaultSlow}
+	}
+	return Fault{Upstream: c.state.ref}
+}
+
+// RefusedBy says that the upstream refused the call unstarted.
+func (s *Selector) RefusedBy(now time.Time, c *Choice) { c.state.avoid = now.Add(refusalPause) }
+
+// Unreachable says that the upstream accepts no connection.
+func (s *Selector) Unreachable(now time.Time, c *Choice) Observation {
+	o := Observation{Upstream: c.state.ref, Slots: c.state.report.Slots, Down: true}
+	c.state.observe(now, o)
+	return o
+}
+
+// Misplaced says that another upstream answers at the address. The upstream gets no
+// more calls until it is announced anew.
+func (s *Selector) Misplaced(c *Choice) { c.state.misplaced = true }
--- /dev/null
+++ b/core/htselect/upstream.go
@@ -0,0 +1,95 @@
+package htselect
+
+import (
+	"math"
+	"time"
+
+	"hawthornturn/core/htcatalog"
+)
+
+const (
+	// faultMemory is the time constant with which faults are forgotten. No traffic
+	// goes to a faulty upstream, so only time can clear it.
+	faultMemory = 3 * time.Second
+	// reportAge is the time constant with which a report of speed and load loses its
+	// value. The host that watches an upstream tells changes at once, so an older report
+	// mostly still holds.
+	reportAge = 1200 * time.Millisecond
+	// unknownSpeed is assumed of an upstream without a fresh report, in percent. It is
+	// the mean over time of a machine that is four times slower for a third of it.
+	unknownSpeed = 200.0
+)
+
+// upstream is what this host knows of one upstream.
+type upstream struct {
+	declared  htcatalog.Upstream
+	ref       htcatalog.Ref
+	report    Observation
+	seen      time.Time // when the report was valid last
+	changed   time.Time // when the report was taken
+	inFlight  int       // calls of this host
+	sentSince int       // calls of this host sent after the report
+	doneSince int       // calls of this host ended after the report
+	coldUntil time.Time
+	coldSent  time.Time // last call of this host while the upstream was cold
+	avoid     time.Time // refused a call; gets none until then
+	faults    float64
+	faultsAt  time.Time
+	misplaced bool // another upstream answers at its address
+}
+
+func newUpstream(now time.Time, d htcatalog.Upstream) *upstream {
+	return &upstream{declared: d, ref: d.Ref(), coldUntil: now.Add(d.ColdLeft), faultsAt: now}
+}
+
+// cold reports whether the upstream is in cold start.
+func (u *upstream) cold(now time.Time) bool { return now.Before(u.coldUntil) }
+
+// trust is the weight of the report at now, from 0 to 1.
+func (u *upstream) trust(now time.Time) float64 {
+	if u.seen.IsZero() {
+		return 0
+	}
+	return math.Exp(-float64(now.Sub(u.seen)) / float64(reportAge))
+}
+
+// speed returns how long work takes, as a factor of the usual.
+func (u *upstream) speed(now time.Time) float64 {
+	trust := u.trust(now)
+	if u.report.Speed == 0 {
+		trust = 0
+	}
+	return (trust*float64(u.report.Speed) + (1-trust)*unknownSpeed) / 100
+}
+
+// load returns the calls that the upstream has now, from all hosts.
+func (u *upstream) load(now time.Time) float64 {
+	reported := float64(u.report.Running+u.report.Waiting)*u.trust(now) + float64(u.sentSince-u.doneSince)
+	return max(float64(u.inFlight), reported)
+}
+
+// fault returns the recent faults, in failed calls.
+func (u *upstream) fault(now time.Time) float64 {
+	return u.faults * math.Exp(-float64(now.Sub(u.faultsAt))/float64(faultMemory))
+}
+
+func (u *upstream) addFault(now time.Time, w float64) {
+	u.faults = u.fault(now) + w
+	u.faultsAt = now
+}
+
+// observe takes in a report that was valid at a time.
+func (u *upstream) observe(at time.Time, o Observation) {
+	if at.Before(u.seen) {
+		return
+	}
+	u.report = o
+	u.seen = at
+	u.changed = at
+	u.sentSince = 0
+	u.doneSince = 0
+	if o.Down {
+		return
+	}
+	u.coldUntil = at.Add(o.Cold)
+}
--- a/io/htback/client.go
+++ b/io/htback/client.go
@@ -2,20 +2,12 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"hawthornturn/core/htdispatch"
 	"hawthornturn/core/htpath"
 	"hawthornturn/core/htresource"
@@ -48,78 +40,12 @@
 
 // Client sends calls to upstreams. It implements htpath.Upstreams.
 type Client struct {
-	mu    sync.Mutex
-	ports map[string]*port // by upstream address
+	conns *Conns
 }
 
 // New returns a Client without connections.
 func New() *Client {
-	return &Client{ports: map[string]*port{}}
-}
-
-// port holds the connections to one upstream. Requests that are not idempotent go
-// over fresh connections: a reused one may have gone silent, and net/http may send
-// a request twice over it.
-type port struct {
-	pooled *http.Transport
-	fresh  *http.Transport
-	open   atomic.Int64
-}
-
-func newPort(slots int) *port {
-	p := &port{}
-	p.pooled = p.transport(slots)
-	p.fresh = p.transport(slots)
-	p.fresh.DisableKeepAlives = true
-	return p
-}
-
-func (p *port) transport(slots int) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2,
-		},
-		Control: setUserTimeout,
-	}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, fmt.Errorf("%w: %w", htpath.ErrNotSent, err)
-			}
-			p.open.Add(1)
-			return &countedConn{Conn: conn, open: &p.open}, nil
-		},
-		MaxConnsPerHost:        slots + spareConnections,
-		MaxIdleConnsPerHost:    slots + spareConnections,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxAnswerHeader,
-		DisableCompression:     true,
-		Protocols:              httpOne(),
-		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
-	}
-}
-
-func httpOne() *http.Protocols {
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
-	return &protocols
-}
-
-// countedConn counts open connections.
-type countedConn struct {
-	net.Conn
-	open   *atomic.Int64
-	closed atomic.Bool
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.open.Add(-1)
-	}
-	return c.Conn.Close()
+	return &Client{conns: NewConns(ConnSettings{Idle: idleTimeout, Spare: spareConnections})}
 }
 
 // Send implements htpath.Upstreams.
@@ -129,21 +55,16 @@
 		return nil, fmt.Errorf("%w: %w", htpath.ErrNotSent, err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	send := &sending{begun: time.Now()}
-	request, err := c.request(httptrace.WithClientTrace(ctx, send.trace()), to, deadline, call, body)
+	send := NewSending()
+	request, err := c.request(ctx, to, deadline, call, body)
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("%w: %w", htpath.ErrNotSent, err)
 	}
-	p := c.port(to)
-	transport := p.pooled
-	if !call.Meta.Idempotent {
-		transport = p.fresh
-	}
-	response, err := transport.RoundTrip(request)
+	response, err := c.conns.RoundTrip(request, to.Address, to.Slots, !call.Meta.Idempotent, send)
 	if err != nil {
 		cancel()
-		return nil, p.classify(send, err)
+		return nil, err
 	}
 	return reply(response, send, cancel), nil
 }
@@ -179,53 +100,14 @@
 	return request, nil
 }
 
-// classify wraps the error of a round trip by what is known of the request.
-func (p *port) classify(send *sending, err error) error {
-	if !send.started.Load() {
-		return fmt.Errorf("%w: %w", htpath.ErrNotSent, err)
-	}
-	if errors.Is(err, unix.ETIMEDOUT) {
-		// Other idle connections to the upstream may have gone silent with this one.
-		p.pooled.CloseIdleConnections()
-		return fmt.Errorf("%w: %w", htpath.ErrSilent, err)
-	}
-	return err
-}
-
-// sending follows one request to the wire.
-type sending struct {
-	started atomic.Bool  // a header field may have been written
-	begun   time.Time    // before the connection was asked for
-	wrote   atomic.Int64 // time at which the request was written, in Unix nanoseconds
-	first   atomic.Int64 // time of the first byte of the answer
-}
-
-func (s *sending) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{
-		WroteHeaderField:     func(string, []string) { s.started.Store(true) },
-		WroteRequest:         func(httptrace.WroteRequestInfo) { s.wrote.Store(time.Now().UnixNano()) },
-		GotFirstResponseByte: func() { s.first.Store(time.Now().UnixNano()) },
-	}
-}
-
-// work returns the time from the end of the request to the answer. An upstream that
-// answers before it has read the whole request is measured from the start.
-func (s *sending) work() time.Duration {
-	wrote := s.wrote.Load()
-	if wrote == 0 {
-		wrote = s.begun.UnixNano()
-	}
-	return time.Duration(max(0, s.first.Load()-wrote))
-}
-
-func reply(response *http.Response, send *sending, cancel context.CancelFunc) *htpath.Reply {
+func reply(response *http.Response, send *Sending, cancel context.CancelFunc) *htpath.Reply {
 	return &htpath.Reply{
 		Status:  response.StatusCode,
 		Header:  response.Header,
 		Trailer: func() http.Header { return response.Trailer },
 		Body:    &htpath.HeldBody{Reader: response.Body, Closer: response.Body, Release: cancel},
 		Report:  report(response.Header),
-		Work:    send.work(),
+		Work:    send.Work(),
 		Refused: response.Header.Get(headerNotStarted) == "true",
 	}
 }
@@ -257,7 +139,7 @@
 	if err != nil {
 		return htdispatch.Report{}, err
 	}
-	response, err := c.port(to).fresh.RoundTrip(request)
+	response, err := c.conns.RoundTrip(request, to.Address, to.Slots, true, NewSending())
 	if err != nil {
 		return htdispatch.Report{}, fmt.Errorf("probe %s: %w", to.Name, err)
 	}
@@ -268,36 +150,8 @@
 	return report(response.Header), nil
 }
 
-func (c *Client) port(to htresource.Upstream) *port {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.ports[to.Address]
-	if p == nil {
-		p = newPort(to.Slots)
-		c.ports[to.Address] = p
-	}
-	return p
-}
-
 // Retain closes the connections to upstreams whose address is not kept.
-func (c *Client) Retain(keep map[string]bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, p := range c.ports {
-		if !keep[address] {
-			p.pooled.CloseIdleConnections()
-			delete(c.ports, address)
-		}
-	}
-}
+func (c *Client) Retain(keep map[string]bool) { c.conns.Retain(keep) }
 
 // Connections returns the number of open connections by upstream address.
-func (c *Client) Connections() map[string]int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	open := make(map[string]int64, len(c.ports))
-	for address, p := range c.ports {
-		open[address] = p.open.Load()
-	}
-	return open
-}
+func (c *Client) Connections() map[string]int64 { return c.conns.Open() }
--- /dev/null
+++ b/io/htback/conns.go
@@ -0,0 +1,194 @@
+package htback
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hawthornturn/core/htpath"
+)
+
+// ConnSettings bound the connections to each upstream.
+type ConnSettings struct {
+	Idle  time.Duration // idle connections are closed after this time
+	Spare int           // connections beyond the slots of the upstream
+}
+
+// Conns holds the connections to upstreams. It is safe for concurrent use.
+type Conns struct {
+	settings ConnSettings
+	mu       sync.Mutex
+	ports    map[string]*port // by upstream address
+}
+
+// NewConns returns Conns without connections.
+func NewConns(settings ConnSettings) *Conns {
+	return &Conns{settings: settings, ports: map[string]*port{}}
+}
+
+// RoundTrip sends a request to an upstream and returns the head of the answer. Fresh
+// requests get a connection of their own. An error wraps htpath.ErrNotSent if no byte
+// was sent and htpath.ErrSilent if the connection timed out.
+func (c *Conns) RoundTrip(request *http.Request, address string, slots int, fresh bool, send *Sending) (*http.Response, error) {
+	p := c.port(address, slots)
+	transport := p.pooled
+	if fresh {
+		transport = p.fresh
+	}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), send.trace()))
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, p.classify(send, err)
+	}
+	return response, nil
+}
+
+func (c *Conns) port(address string, slots int) *port {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.ports[address]
+	if p == nil {
+		p = newPort(slots+c.settings.Spare, c.settings.Idle)
+		c.ports[address] = p
+	}
+	return p
+}
+
+// Retain closes the connections to upstreams whose address is not kept.
+func (c *Conns) Retain(keep map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.ports {
+		if !keep[address] {
+			p.pooled.CloseIdleConnections()
+			delete(c.ports, address)
+		}
+	}
+}
+
+// Open returns the number of open connections by upstream address.
+func (c *Conns) Open() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	open := make(map[string]int64, len(c.ports))
+	for address, p := range c.ports {
+		open[address] = p.open.Load()
+	}
+	return open
+}
+
+// port holds the connections to one upstream. Requests that are not idempotent go
+// over fresh connections: a reused one may have gone silent, and net/http may send
+// a request twice over it.
+type port struct {
+	pooled *http.Transport
+	fresh  *http.Transport
+	open   atomic.Int64
+}
+
+func newPort(most int, idle time.Duration) *port {
+	p := &port{}
+	p.pooled = p.transport(most, idle)
+	p.fresh = p.transport(most, idle)
+	p.fresh.DisableKeepAlives = true
+	return p
+}
+
+func (p *port) transport(most int, idle time.Duration) *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2,
+		},
+		Control: setUserTimeout,
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %w", htpath.ErrNotSent, err)
+			}
+			p.open.Add(1)
+			return &countedConn{Conn: conn, open: &p.open}, nil
+		},
+		MaxConnsPerHost:        most,
+		MaxIdleConnsPerHost:    most,
+		IdleConnTimeout:        idle,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+		DisableCompression:     true,
+		Protocols:              httpOne(),
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
+	}
+}
+
+func httpOne() *http.Protocols {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	return &protocols
+}
+
+// countedConn counts open connections.
+type countedConn struct {
+	net.Conn
+	open   *atomic.Int64
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// classify wraps the error of a round trip by what is known of the request.
+func (p *port) classify(send *Sending, err error) error {
+	if !send.started.Load() {
+		return fmt.Errorf("%w: %w", htpath.ErrNotSent, err)
+	}
+	if errors.Is(err, unix.ETIMEDOUT) {
+		// Other idle connections to the upstream may have gone silent with this one.
+		p.pooled.CloseIdleConnections()
+		return fmt.Errorf("%w: %w", htpath.ErrSilent, err)
+	}
+	return err
+}
+
+// Sending follows one request to the wire.
+type Sending struct {
+	started atomic.Bool  // a header field may have been written
+	begun   time.Time    // before the connection was asked for
+	wrote   atomic.Int64 // time at which the request was written, in Unix nanoseconds
+	first   atomic.Int64 // time of the first byte of the answer
+}
+
+// NewSending returns a Sending that begins now.
+func NewSending() *Sending { return &Sending{begun: time.Now()} }
+
+func (s *Sending) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		WroteHeaderField:     func(string, []string) { s.started.Store(true) },
+		WroteRequest:         func(httptrace.WroteRequestInfo) { s.wrote.Store(time.Now().UnixNano()) },
+		GotFirstResponseByte: func() { s.first.Store(time.Now().UnixNano()) },
+	}
+}
+
+// Work returns the time from the end of the request to the answer. An upstream that
+// answers before it has read the whole request is measured from the start.
+func (s *Sending) Work() time.Duration {
+	wrote := s.wrote.Load()
+	if wrote == 0 {
+		wrote = s.begun.UnixNano()
+	}
+	return time.Duration(max(0, s.first.Load()-wrote))
+}
--- /dev/null
+++ b/io/htentry/follow.go
@@ -0,0 +1,243 @@
+package htentry
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hawthornturn/core/htgroup"
+	"hawthornturn/core/htmirror"
+	"hawthornturn/io/htgossip"
+)
+
+const (
+	// LongestPoll is the length of a long poll. A reader that is cut off without
+	// notice is found out after it; the bound on configuration is 2 s.
+	LongestPoll = time.Second
+	// dutyPeriod is the time between looks at who reads the store.
+	dutyPeriod = 50 * time.Millisecond
+	// retryPeriod is the time between tries of the first hosts in rank while the store
+	// does not answer; others try retrySlow as often, since each call is paid for.
+	retryPeriod = 300 * time.Millisecond
+	retrySlow   = 6
+	retryFirst  = 3
+	// directoryRetry is the time between tries to register.
+	directoryRetry = time.Second
+	// joinWait is how long a host waits for rows of others before it reads the store.
+	joinWait = 150 * time.Millisecond
+)
+
+// follow reads a table of the store while that is this host's duty.
+func (e *Entry) follow(ctx context.Context, t htmirror.Table) error {
+	reading := false
+	wait := joinWait
+	for {
+		if err := sleep(ctx, wait); err != nil {
+			return err
+		}
+		wait = dutyPeriod
+		e.mu.Lock()
+		reads, rank := e.group.Reads(e.timers.Now())
+		e.mu.Unlock()
+		if !reads || e.stopping.Load() {
+			reading = false
+			continue
+		}
+		err := e.read(ctx, t, reading)
+		switch {
+		case err == nil:
+			reading = true
+			wait = 0
+		case ctx.Err() != nil:
+			return ctx.Err()
+		default:
+			reading = false
+			wait = e.storeFailed(t, rank, err)
+		}
+	}
+}
+
+// read makes one call to the store and applies what it returns. The first call of a
+// reader does not wait for a change, so that others soon learn that it is served.
+func (e *Entry) read(ctx context.Context, t htmirror.Table, reading bool) error {
+	e.mu.Lock()
+	after := e.mirror.Versions()[t]
+	e.mu.Unlock()
+	if after == 0 {
+		return e.list(ctx, t)
+	}
+	wait := LongestPoll
+	if !reading {
+		wait = 0
+	}
+	e.metrics.storeCalls.Add(1)
+	delta, err := e.ports.Store.Follow(ctx, t, after, wait)
+	if errors.Is(err, htmirror.ErrCompacted) {
+		logrus.WithFields(logrus.Fields{"event": "history-lost", "table": t, "after": after}).Warn("the store dropped its history; reading the table anew")
+		return e.list(ctx, t)
+	}
+	if err != nil {
+		return err
+	}
+	e.storeAnswered(func(now time.Time) bool { return e.mirror.Apply(now, delta) })
+	return nil
+}
+
+func (e *Entry) list(ctx context.Context, t htmirror.Table) error {
+	e.metrics.storeCalls.Add(1)
+	rows, version, err := e.ports.Store.List(ctx, t)
+	if err != nil {
+		return err
+	}
+	e.storeAnswered(func(now time.Time) bool { return e.mirror.Replace(now, t, version, rows) })
+	return nil
+}
+
+// storeAnswered applies an answer of the store and tells other hosts.
+func (e *Entry) storeAnswered(apply func(now time.Time) bool) {
+	now := e.timers.Now()
+	e.mu.Lock()
+	regained := e.group.StoreAge(now) < 0
+	e.group.StoreAnswered(now)
+	e.mirror.Contact(now)
+	before := e.mirror.Versions()
+	changed := apply(now)
+	if changed {
+		e.rebuild(now)
+	}
+	news := changed || before != e.mirror.Versions() && !before.Behind(htmirror.Versions{1, 1})
+	e.mu.Unlock()
+	if changed {
+		e.applyCatalog(now)
+	}
+	if regained {
+		logrus.WithFields(logrus.Fields{"event": "store-regained"}).Info("the store serves this host")
+	}
+	if news || regained {
+		e.sendBeat(false)
+	}
+}
+
+// storeFailed returns how long to wait before the next try.
+func (e *Entry) storeFailed(t htmirror.Table, rank int, err error) time.Duration {
+	now := e.timers.Now()
+	e.mu.Lock()
+	lost := e.group.StoreAge(now) >= 0
+	e.group.StoreRefused()
+	e.mu.Unlock()
+	e.metrics.storeFailures.Add(1)
+	if lost {
+		logrus.WithFields(logrus.Fields{"event": "store-lost", "table": t}).WithError(err).Warn("the store does not serve this host")
+		e.sendBeat(false)
+	}
+	if rank >= retryFirst {
+		return retrySlow * retryPeriod
+	}
+	return retryPeriod
+}
+
+// catchUp takes rows from hosts that have newer ones.
+func (e *Entry) catchUp(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case from := <-e.behind:
+			e.fetch(ctx, from)
+		}
+	}
+}
+
+func (e *Entry) fetch(ctx context.Context, from netip.AddrPort) {
+	e.mu.Lock()
+	after := e.mirror.Versions()
+	e.mu.Unlock()
+	rows, err := e.sync.Fetch(ctx, from, after)
+	if err != nil {
+		logrus.WithFields(logrus.Fields{"event": "rows-not-fetched", "from": from}).WithError(err).Warn("rows of another host not read")
+		return
+	}
+	now := e.timers.Now()
+	e.mu.Lock()
+	for _, m := range rows.Members {
+		e.group.Add(m)
+	}
+	changed := false
+	for _, d := range rows.Deltas {
+		if e.mirror.Apply(now, d) {
+			changed = true
+		}
+	}
+	if changed {
+		e.rebuild(now)
+	}
+	e.mu.Unlock()
+	if changed {
+		e.applyCatalog(now)
+	}
+}
+
+// rowsSince answers a host that is behind.
+func (e *Entry) rowsSince(after htmirror.Versions) htgossip.Rows {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var rows htgossip.Rows
+	for t, v := range after {
+		rows.Deltas = append(rows.Deltas, e.mirror.Since(htmirror.Table(t), v))
+	}
+	if after == (htmirror.Versions{}) {
+		running, quiet := e.group.Others(e.timers.Now())
+		rows.Members = append(append([]htgroup.Member{e.settings.Self}, running...), quiet...)
+	}
+	return rows
+}
+
+// join registers this host and learns of the others.
+func (e *Entry) join(ctx context.Context) error {
+	for {
+		err := e.register(ctx)
+		if err == nil {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		logrus.WithFields(logrus.Fields{"event": "not-registered"}).WithError(err).Warn("host not registered in the store")
+		if err := sleep(ctx, directoryRetry); err != nil {
+			return err
+		}
+	}
+}
+
+// register writes this host's row before it reads the others', so that of two hosts
+// that start together at least one learns of the other.
+func (e *Entry) register(ctx context.Context) error {
+	e.metrics.storeCalls.Add(2)
+	written := e.ports.Directory.Register(ctx, e.settings.Self)
+	members, err := e.ports.Directory.Members(ctx)
+	if err != nil {
+		return errors.Join(written, err)
+	}
+	e.mu.Lock()
+	for _, m := range members {
+		e.group.Add(m)
+	}
+	e.mu.Unlock()
+	e.sendBeat(true)
+	return written
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/io/htgossip/sync.go
@@ -0,0 +1,115 @@
+package htgossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hawthornturn/core/htgroup"
+	"hawthornturn/core/htmirror"
+)
+
+const (
+	// SyncPath serves the rows of the mirror to other hosts.
+	SyncPath = "/rows"
+	// syncTimeout bounds one exchange between hosts, which takes a few milliseconds.
+	// Above it, another host is asked.
+	syncTimeout = 400 * time.Millisecond
+	// syncIdle closes connections between hosts soon, since changes are rare and a
+	// connection may go silent meanwhile.
+	syncIdle = time.Second
+	maxSync  = 64 << 20
+)
+
+// Rows is the answer to a host that is behind.
+type Rows struct {
+	Deltas  []htmirror.Delta `cbor:"1,keyasint"`
+	Members []htgroup.Member `cbor:"2,keyasint,omitempty"`
+}
+
+// Source gives the rows that changed after the versions.
+type Source func(after htmirror.Versions) Rows
+
+// Handler serves rows to other hosts.
+func Handler(source Source) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var after htmirror.Versions
+		for t := range after {
+			n, err := strconv.ParseInt(r.FormValue(htmirror.Table(t).String()), 10, 64)
+			if err != nil || n < 0 {
+				http.Error(w, "version of a table is missing or not a number", http.StatusBadRequest)
+				return
+			}
+			after[t] = n
+		}
+		data, err := cbor.Marshal(source(after))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(data)
+	}
+}
+
+// Client asks other hosts for rows.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a Client without connections.
+func NewClient() *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: syncTimeout}).DialContext,
+		IdleConnTimeout:     syncIdle,
+		MaxIdleConnsPerHost: 1,
+		DisableCompression:  true,
+	}
+	return &Client{http: &http.Client{Transport: transport, Timeout: syncTimeout}}
+}
+
+// Fetch returns the rows of a host that changed after the versions.
+func (c *Client) Fetch(ctx context.Context, from netip.AddrPort, after htmirror.Versions) (Rows, error) {
+	query := "?"
+	for t, v := range after {
+		query += fmt.Sprintf("%s=%d&", htmirror.Table(t), v)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+SyncPath+query, http.NoBody)
+	if err != nil {
+		return Rows{}, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Rows{}, fmt.Errorf("fetch rows: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxSync))
+	if err != nil {
+		return Rows{}, fmt.Errorf("read rows: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return Rows{}, fmt.Errorf("fetch rows: status %d: %s", response.StatusCode, data)
+	}
+	var rows Rows
+	if err := cbor.Unmarshal(data, &rows); err != nil {
+		return Rows{}, fmt.Errorf("decode rows: %w", err)
+	}
+	return rows, rows.check()
+}
+
+// check refuses rows of tables that do not exist.
+func (r Rows) check() error {
+	for _, d := range r.Deltas {
+		if d.Version < 0 || int(d.Table) >= len(htmirror.Versions{}) {
+			return errors.New("rows of an unknown table or version")
+		}
+	}
+	return nil
+}
--- a/io/htplatform/client.go
+++ b/io/htplatform/client.go
@@ -27,15 +27,16 @@
 	Timeout time.Duration // per request; zero means DefaultTimeout
 }
 
-// client sends requests to the platform and tells apart requests that were never
+// Client sends requests to the platform and tells apart requests that were never
 // sent from those whose answer was lost.
-type client struct {
+type Client struct {
 	url     string
 	timeout time.Duration
 	http    *http.Client
 }
 
-func newClient(s Settings) *client {
+// NewClient returns a Client without connections.
+func NewClient(s Settings) *Client {
 	timeout := s.Timeout
 	if timeout == 0 {
 		timeout = DefaultTimeout
@@ -45,37 +46,40 @@
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
 	}
-	return &client{
+	return &Client{
 		url:     strings.TrimSuffix(s.URL, "/"),
 		timeout: timeout,
 		http:    &http.Client{Transport: transport},
 	}
 }
 
-// lostError says that a request got no whole answer. Sent is false if no byte of
+// LostError says that a request got no whole answer. Sent is false if no byte of
 // it was sent.
-type lostError struct {
-	sent bool
-	err  error
+type LostError struct {
+	Sent bool
+	Err  error
 }
 
-func (e *lostError) Error() string { return e.err.Error() }
+// Error implements error.
+func (e *LostError) Error() string { return e.Err.Error() }
 
-func (e *lostError) Unwrap() error { return e.err }
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
 
-// statusError is an answer with a status other than 2xx.
-type statusError struct {
-	status  int
-	message string
+// StatusError is an answer with a status other than 2xx.
+type StatusError struct {
+	Status  int
+	Message string
 }
 
-func (e *statusError) Error() string {
-	return fmt.Sprintf("status %d: %s", e.status, e.message)
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.Status, e.Message)
 }
 
-// do sends body, if it is not nil, as JSON and decodes the answer into answer, if
-// that is not nil. It returns a *lostError or a *statusError.
-func (c *client) do(ctx context.Context, method, path string, body, answer any) error {
+// Do sends body, if it is not nil, as JSON and decodes the answer into answer, if
+// that is not nil. It returns a *LostError or a *StatusError.
+func (c *Client) Do(ctx context.Context, method, path string, body, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	connected := false
@@ -86,31 +90,31 @@
 	if body != nil {
 		encoded, err := json.Marshal(body)
 		if err != nil {
-			return &lostError{err: fmt.Errorf("encode request: %w", err)}
+			return &LostError{Err: fmt.Errorf("encode request: %w", err)}
 		}
 		payload = encoded
 	}
 	request, err := http.NewRequestWithContext(ctx, method, c.url+path, bytes.NewReader(payload))
 	if err != nil {
-		return &lostError{err: err}
+		return &LostError{Err: err}
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return &lostError{sent: connected && !isDialError(err), err: err}
+		return &LostError{Sent: connected && !isDialError(err), Err: err}
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 	if err != nil {
-		return &lostError{sent: true, err: fmt.Errorf("read answer: %w", err)}
+		return &LostError{Sent: true, Err: fmt.Errorf("read answer: %w", err)}
 	}
 	if response.StatusCode < 200 || response.StatusCode > 299 {
-		return &statusError{status: response.StatusCode, message: problemText(content)}
+		return &StatusError{Status: response.StatusCode, Message: problemText(content)}
 	}
 	if answer == nil {
 		return nil
 	}
 	if err := json.Unmarshal(content, answer); err != nil {
-		return &lostError{sent: true, err: fmt.Errorf("decode answer: %w", err)}
+		return &LostError{Sent: true, Err: fmt.Errorf("decode answer: %w", err)}
 	}
 	return nil
 }
@@ -134,6 +138,6 @@
 	return string(content[:min(len(content), shown)])
 }
 
-func (c *client) close() {
+func (c *Client) close() {
 	c.http.CloseIdleConnections()
 }
--- a/io/htplatform/hostlist.go
+++ b/io/htplatform/hostlist.go
@@ -21,12 +21,12 @@
 
 // HostList is the platform's host list over HTTP. The list lags and may be wrong.
 type HostList struct {
-	client *client
+	client *Client
 }
 
 // NewHostList returns a HostList of the platform that s names.
 func NewHostList(s Settings) *HostList {
-	return &HostList{client: newClient(s)}
+	return &HostList{client: NewClient(s)}
 }
 
 // Close closes idle connections.
@@ -37,7 +37,7 @@
 // Hosts returns the listed hosts. It leaves out entries with an unknown state.
 func (l *HostList) Hosts(ctx context.Context) ([]ListedHost, error) {
 	var listed []ListedHost
-	if err := l.client.do(ctx, http.MethodGet, "/hosts", nil, &listed); err != nil {
+	if err := l.client.Do(ctx, http.MethodGet, "/hosts", nil, &listed); err != nil {
 		return nil, fmt.Errorf("read host list: %w", err)
 	}
 	known := listed[:0]
@@ -59,7 +59,7 @@
 // Register adds a host to the list or changes its state.
 func (l *HostList) Register(ctx context.Context, name, address, state string) error {
 	body := registration{Name: name, Address: address, State: state}
-	if err := l.client.do(ctx, http.MethodPut, "/hosts/"+url.PathEscape(name), body, nil); err != nil {
+	if err := l.client.Do(ctx, http.MethodPut, "/hosts/"+url.PathEscape(name), body, nil); err != nil {
 		return fmt.Errorf("register host %s: %w", name, err)
 	}
 	return nil
--- a/io/htplatform/table.go
+++ b/io/htplatform/table.go
@@ -13,14 +13,14 @@
 // Table is the table service over HTTP. It implements httable.Table and is safe
 // for concurrent use.
 type Table struct {
-	client *client
+	client *Client
 }
 
 var _ httable.Table = (*Table)(nil)
 
 // NewTable returns a Table of the platform that s names.
 func NewTable(s Settings) *Table {
-	return &Table{client: newClient(s)}
+	return &Table{client: NewClient(s)}
 }
 
 // Close closes idle connections.
@@ -40,7 +40,7 @@
 
 func (t *Table) rows(ctx context.Context, query url.Values) (httable.Snapshot, error) {
 	var snapshot httable.Snapshot
-	err := t.client.do(ctx, http.MethodGet, "/table/rows?"+query.Encode(), nil, &snapshot)
+	err := t.client.Do(ctx, http.MethodGet, "/table/rows?"+query.Encode(), nil, &snapshot)
 	if err != nil {
 		return httable.Snapshot{}, fmt.Errorf("read table: %w: %w", httable.ErrUnavailable, err)
 	}
@@ -52,7 +52,7 @@
 	var committed struct {
 		Revision uint64 `json:"revision"`
 	}
-	err := t.client.do(ctx, http.MethodPost, "/table/transactions", txn, &committed)
+	err := t.client.Do(ctx, http.MethodPost, "/table/transactions", txn, &committed)
 	if err != nil {
 		return 0, fmt.Errorf("commit transaction %s: %w", txn.ID, classifyCommit(err))
 	}
@@ -63,24 +63,24 @@
 // have been applied. An answer that is neither a success nor a clear refusal may
 // come from a service that failed half way, so it leaves the result open.
 func classifyCommit(err error) error {
-	var lost *lostError
+	var lost *LostError
 	if errors.As(err, &lost) {
-		if lost.sent {
+		if lost.Sent {
 			return fmt.Errorf("%w: %w", httable.ErrUnsure, err)
 		}
 		return fmt.Errorf("%w: %w", httable.ErrUnavailable, err)
 	}
-	var answered *statusError
+	var answered *StatusError
 	if !errors.As(err, &answered) {
 		return err
 	}
-	switch answered.status {
+	switch answered.Status {
 	case http.StatusConflict:
 		return fmt.Errorf("%w: %w", httable.ErrConflict, err)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: %w", httable.ErrUnavailable, err)
 	}
-	if answered.status >= 400 && answered.status <= 499 {
+	if answered.Status >= 400 && answered.Status <= 499 {
 		return err
 	}
 	return fmt.Errorf("%w: %w", httable.ErrUnsure, err)
