htselect: let hosts that know the same spread their calls

Cause: all hosts chose the upstream that was probed last, because the report lost value from its first millisecond, and a call that is too long for its route's timeout banned the upstream that ran it for seconds. Ruled out: speed reports that come late (age at the choice below 75 ms).

--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -19,9 +19,12 @@
 	switch reply := reply.(type) {
 	case Answered:
 		report = reply.Report
-		if reply.Status >= http.StatusInternalServerError {
+		switch {
+		case reply.Status == http.StatusGatewayTimeout:
+			fault.Weight = htselect.FaultTimeout
+		case reply.Status >= http.StatusInternalServerError:
 			fault.Weight = htselect.FaultError
-		} else {
+		default:
 			fault = r.selector.Answered(c, reply.Work, len(reply.Body))
 		}
 	case Refused:
@@ -65,5 +68,5 @@
 	if now.Before(call.Deadline) {
 		return htselect.FaultError
 	}
-	return htselect.FaultSilent
+	return htselect.FaultTimeout
 }
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -24,13 +24,17 @@
 	// domains are paid for.
 	distanceShare = 0.04
 	byteShare     = 0.02
-	// faultFactor is how much a recent fault adds, in units of the target.
-	faultFactor = 1.5
+	// faultFactor times the square of the recent faults is added, in units of the target:
+	// upstreams in order fail a call now and then, broken ones one after the other.
+	faultFactor = 0.3
 	// illShare of the target is added for an upstream that calls itself ill. Its word
 	// may be wrong either way, so it is used when the others are late too.
 	illShare = 2.0
 	// jitter spreads the choices of hosts that know the same, as a share of the score.
-	jitter = 0.04
+	jitter = 0.1
+	// busyShare of the work time is added for each share of busy slots, so that hosts
+	// that see the same upstreams idle spread their calls.
+	busyShare = 0.4
 	// refusalPause is how long an upstream that refused a call gets none.
 	refusalPause = 60 * time.Millisecond
 	// retryAfterMin and retryAfterMax bound what a caller is told to wait.
@@ -161,6 +165,7 @@
 	if u.cold(now) {
 		work *= coldFactor
 	}
+	work *= 1 + busyShare*min(1, u.load(now)/float64(u.slots()))
 	return work + u.wait(now, mean)
 }
 
@@ -174,5 +179,6 @@
 	if u.report.Ill {
 		score += illShare * target
 	}
-	return score + faultFactor*target*u.fault(now)
+	fault := u.fault(now)
+	return score + faultFactor*target*fault*fault
 }
--- a/core/htselect/observation.go
+++ b/core/htselect/observation.go
@@ -43,6 +43,9 @@
 // Weights of faults, in failed calls.
 const (
 	FaultError  = 1.0 // the upstream failed, broke off or spoilt an answer
-	FaultSilent = 1.0 // no answer until the deadline
+	FaultSilent = 1.0 // no connection in time
+	// FaultTimeout is for a call that did not end in its time, which is as likely the
+	// call's fault as the upstream's.
+	FaultTimeout = 0.2
 	FaultSlow   = 0.4 // much slower than its report said
 )
--- a/core/htselect/upstream.go
+++ b/core/htselect/upstream.go
@@ -15,6 +15,9 @@
 	// value. The host that watches an upstream tells changes at once, so an older report
 	// mostly still holds.
 	reportAge = 1200 * time.Millisecond
+	// reportFresh is the age up to which reports count as equally good: a preference
+	// for the newest one would send the calls of all hosts to the same upstream.
+	reportFresh = 400 * time.Millisecond
 	// unknownSpeed is assumed of an upstream without a fresh report, in percent. It is
 	// the mean over time of a machine that is four times slower for a third of it.
 	unknownSpeed = 200.0
@@ -50,7 +53,7 @@
 	if u.seen.IsZero() {
 		return 0
 	}
-	return math.Exp(-float64(now.Sub(u.seen)) / float64(reportAge))
+	return math.Exp(-float64(max(0, now.Sub(u.seen)-reportFresh)) / float64(reportAge))
 }
 
 // speed returns how long work takes, as a factor of the usual.
