--- a/core/htgroup/duty.go
+++ b/core/htgroup/duty.go
@@ -10,6 +10,14 @@
 // from the store without anybody noticing for the length of a long poll.
 const readers = 2
 
+const (
+	// stagger is the time between the turns of two hosts in rank to take up reading. An
+	// answer of the store and its news to the others take about 10 ms.
+	stagger = 40 * time.Millisecond
+	// maxStagger keeps the last turn within the bound on configuration.
+	maxStagger = 350 * time.Millisecond
+)
+
 // weight is the rendezvous weight of a host for a key.
 func weight(host, key uint64) uint64 {
 	var b [16]byte
@@ -63,15 +71,23 @@
 	self := g.peers[g.self.Address]
 	key := xxhash.Sum64String("store-reader")
 	own := weight(self.hash, key)
-	served, better := 0, 0
+	var better []*peer
 	for _, p := range g.running(now) {
-		if p == self || weight(p.hash, key) <= own {
-			continue
+		if p != self && weight(p.hash, key) > own {
+			better = append(better, p)
 		}
-		better++
-		if now.Sub(p.storeSeen) < StoreLimit {
+	}
+	// Hosts later in rank wait a little longer, so that not all of them take up
+	// reading at the same moment.
+	turn := min(time.Duration(max(0, len(better)-readers+1))*stagger, maxStagger)
+	served := 0
+	for _, p := range better {
+		if now.Sub(later(p.storeSeen, g.start)) < StoreLimit+turn && !p.storeSeen.IsZero() {
 			served++
 		}
 	}
-	return served < readers, better
+	if served == 0 && now.Sub(g.start) < turn {
+		return false, len(better)
+	}
+	return served < readers, len(better)
 }
--- a/core/htgroup/group.go
+++ b/core/htgroup/group.go
@@ -13,9 +13,9 @@
 	// three beats, so that a lost datagram moves nothing.
 	SilenceLimit = 750 * time.Millisecond
 	// StoreLimit is the age of a reader's last answer from the store above which
-	// other hosts take up reading. A long poll that changes nothing answers once a
-	// second.
-	StoreLimit = 1350 * time.Millisecond
+	// other hosts take up reading: the length of a long poll, which answers even if
+	// nothing changes, the time until the next beat tells of it, and a margin.
+	StoreLimit = 1250 * time.Millisecond
 )
 
 // Member is one entry host.
@@ -136,6 +136,41 @@
 	return running, quiet
 }
 
+// Near returns the running members in the failure domain of this host.
+func (g *Group) Near(now time.Time) []Member {
+	var near []Member
+	for _, p := range g.peers {
+		if p.Address != g.self.Address && p.Domain == g.self.Domain && p.alive(now) {
+			near = append(near, p.Member)
+		}
+	}
+	slices.SortFunc(near, compareMembers)
+	return near
+}
+
+// Far returns one running member in each other failure domain, which passes messages
+// on there. Each host has its own, so that the loss of one member delays few messages.
+// Members whose failure domain is not known are returned too.
+func (g *Group) Far(now time.Time) []Member {
+	own := g.peers[g.self.Address].hash
+	best := map[string]*peer{}
+	var far []Member
+	for _, p := range g.peers {
+		switch {
+		case p.Address == g.self.Address || p.Domain == g.self.Domain || !p.alive(now):
+		case p.Domain == "":
+			far = append(far, p.Member)
+		case best[p.Domain] == nil || weight(p.hash, own) > weight(best[p.Domain].hash, own):
+			best[p.Domain] = p
+		}
+	}
+	for _, p := range best {
+		far = append(far, p.Member)
+	}
+	slices.SortFunc(far, compareMembers)
+	return far
+}
+
 func compareMembers(a, b Member) int { return a.Address.Compare(b.Address) }
 
 // Drop forgets a host that was not heard for longer than limit, if it is not this
--- /dev/null
+++ b/core/htgroup/group_test.go
@@ -0,0 +1,173 @@
+package htgroup
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func member(n int, domain string) Member {
+	return Member{
+		Name:    fmt.Sprintf("host-%d", n),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7600),
+		Domain:  domain,
+	}
+}
+
+// groups returns the views of n hosts in domains that have all heard of each other.
+func groups(n int, domains ...string) []*Group {
+	list := make([]*Group, n)
+	for i := range list {
+		list[i] = New(member(i+1, domains[i%len(domains)]), start)
+	}
+	meet(list, start, nil)
+	return list
+}
+
+// meet lets the hosts that are not down hear each other.
+func meet(list []*Group, now time.Time, down map[int]bool) {
+	for i, g := range list {
+		for j, o := range list {
+			if i != j && !down[i] && !down[j] {
+				g.Heard(now, o.self, o.StoreAge(now), false)
+			}
+		}
+	}
+}
+
+// Guards against an upstream that nobody probes, or that many hosts probe, while all
+// hosts know each other and after some are lost.
+func TestOneHostHoldsADuty(t *testing.T) {
+	tests := []struct {
+		name string
+		down map[int]bool
+	}{
+		{"all run", nil},
+		{"one is lost", map[int]bool{0: true}},
+		{"a failure domain is lost", map[int]bool{0: true, 3: true, 6: true}},
+	}
+	for _, tt := range tests {
+		list := groups(9, "a", "b", "c")
+		now := start.Add(SilenceLimit + time.Millisecond)
+		meet(list, now, tt.down)
+		for key := range uint64(200) {
+			holders := 0
+			for i, g := range list {
+				if !tt.down[i] && g.Rank(now, key, "a") == 0 {
+					holders++
+				}
+			}
+			if holders != 1 {
+				t.Errorf("%s: key %d has %d holders", tt.name, key, holders)
+			}
+		}
+	}
+}
+
+// Guards against probes that cross failure domains although a host of the upstream's
+// own runs.
+func TestDutiesStayInTheDomain(t *testing.T) {
+	list := groups(6, "a", "b")
+	for key := range uint64(100) {
+		for _, g := range list {
+			if g.Rank(start, key, "b") == 0 && g.self.Domain != "b" {
+				t.Errorf("key %d is held by %s in %s", key, g.self.Name, g.self.Domain)
+			}
+		}
+	}
+}
+
+// Guards against more senders to a cold upstream than it bears when hosts are lost and
+// each host counts others as lost at another time.
+func TestRankAllDoesNotChangeWithLosses(t *testing.T) {
+	list := groups(8, "a", "b")
+	before := make([]int, len(list))
+	for i, g := range list {
+		before[i] = g.RankAll(42)
+	}
+	now := start.Add(SilenceLimit * 2)
+	meet(list, now, map[int]bool{1: true, 2: true})
+	seen := map[int]bool{}
+	for i, g := range list {
+		if g.RankAll(42) != before[i] {
+			t.Errorf("rank of host %d changed from %d to %d", i, before[i], g.RankAll(42))
+		}
+		seen[before[i]] = true
+	}
+	if len(seen) != len(list) {
+		t.Errorf("ranks are %v", before)
+	}
+}
+
+// readersOf counts the hosts that would read the store.
+func readersOf(list []*Group, now time.Time, down map[int]bool) int {
+	n := 0
+	for i, g := range list {
+		if reads, _ := g.Reads(now); reads && !down[i] {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against all hosts reading the store, and against nobody reading it once the
+// readers are cut off from it.
+func TestReadersOfTheStore(t *testing.T) {
+	list := groups(9, "a", "b", "c")
+	now := start
+	step := func(served func(i int) bool) {
+		now = now.Add(20 * time.Millisecond)
+		for i, g := range list {
+			if reads, _ := g.Reads(now); reads && served(i) {
+				g.StoreAnswered(now)
+			}
+		}
+		meet(list, now, nil)
+	}
+	for range 50 {
+		step(func(int) bool { return true })
+	}
+	if n := readersOf(list, now, nil); n != readers {
+		t.Fatalf("%d hosts read, want %d", n, readers)
+	}
+	cut := map[int]bool{}
+	for i, g := range list {
+		if reads, _ := g.Reads(now); reads {
+			cut[i] = true
+		}
+	}
+	for elapsed := time.Duration(0); elapsed < StoreLimit+400*time.Millisecond; elapsed += 20 * time.Millisecond {
+		step(func(i int) bool { return !cut[i] })
+	}
+	served := 0
+	for i, g := range list {
+		if age := g.StoreAge(now); !cut[i] && age >= 0 && age < StoreLimit {
+			served++
+		}
+	}
+	if served < readers || served > readers+1 {
+		t.Errorf("%d hosts that the store serves took up reading, want about %d", served, readers)
+	}
+}
+
+// Guards against messages that go to every host of another failure domain, and against
+// a failure domain that is left out.
+func TestFarNamesOneHostPerDomain(t *testing.T) {
+	list := groups(9, "a", "b", "c")
+	for _, g := range list {
+		far := g.Far(start)
+		domains := map[string]int{}
+		for _, m := range far {
+			domains[m.Domain]++
+		}
+		if len(far) != 2 || domains[g.self.Domain] != 0 || len(domains) != 2 {
+			t.Errorf("%s in %s passes on through %v", g.self.Name, g.self.Domain, far)
+		}
+		if len(g.Near(start)) != 2 {
+			t.Errorf("%s has %d near members", g.self.Name, len(g.Near(start)))
+		}
+	}
+}
--- /dev/null
+++ b/core/htmirror/mirror_test.go
@@ -0,0 +1,133 @@
+package htmirror
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func keys(m *Mirror, now time.Time, t Table) []string {
+	rows, _ := m.Rows(now, t)
+	list := []string{}
+	for _, r := range rows {
+		list = append(list, r.Key+"="+string(r.Value))
+	}
+	return list
+}
+
+func equal(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a late message that takes a newer row back.
+func TestOldRowsChangeNothing(t *testing.T) {
+	m := New()
+	m.Contact(start)
+	m.Replace(start, Declared, 5, []Row{{Key: "config", Version: 5, Value: []byte("new")}})
+	steps := []struct {
+		name  string
+		delta Delta
+	}{
+		{"older value", Delta{Table: Declared, Version: 4, Rows: []Row{{Key: "config", Version: 4, Value: []byte("old")}}}},
+		{"same version", Delta{Table: Declared, Version: 5, Rows: []Row{{Key: "config", Version: 5, Value: []byte("twin")}}}},
+		{"older deletion", Delta{Table: Declared, Version: 3, Rows: []Row{{Key: "config", Version: 3, Deleted: true}}}},
+		{"unknown table", Delta{Table: 9, Version: 99, Rows: []Row{{Key: "config", Version: 99}}}},
+	}
+	for _, s := range steps {
+		if m.Apply(start, s.delta) {
+			t.Errorf("%s: reported a change", s.name)
+		}
+		if got := keys(m, start, Declared); !equal(got, []string{"config=new"}) {
+			t.Errorf("%s: rows are %v", s.name, got)
+		}
+	}
+	if m.Replace(start, Declared, 4, nil) || !equal(keys(m, start, Declared), []string{"config=new"}) {
+		t.Error("an older list removed a row")
+	}
+	if m.Versions()[Declared] != 5 {
+		t.Errorf("version fell to %d", m.Versions()[Declared])
+	}
+}
+
+// Guards against hosts that get the rows from a peer and miss a removal.
+func TestDeltaCarriesRemovals(t *testing.T) {
+	a, b := New(), New()
+	a.Replace(start, Announced, 3, []Row{{Key: "u1", Version: 2, Value: []byte("x")}, {Key: "u2", Version: 3, Value: []byte("y")}})
+	b.Apply(start, a.Since(Announced, 0))
+	a.Replace(start, Announced, 7, []Row{{Key: "u2", Version: 3, Value: []byte("y")}, {Key: "u3", Version: 6, Value: []byte("z")}})
+	if !b.Versions().Behind(a.Versions()) {
+		t.Fatal("the second mirror does not know that it is behind")
+	}
+	b.Apply(start, a.Since(Announced, b.Versions()[Announced]))
+	if got, want := keys(b, start, Announced), []string{"u2=y", "u3=z"}; !equal(got, want) {
+		t.Errorf("rows are %v, want %v", got, want)
+	}
+	if b.Versions().Behind(a.Versions()) {
+		t.Error("still behind after the delta")
+	}
+}
+
+// Guards against dropping all upstreams whose entries expired only because they could
+// not reach the store, and against keeping those that really left.
+func TestDeletionsAroundAnOutage(t *testing.T) {
+	tests := []struct {
+		name    string
+		silence time.Duration // of the store before the deletion is seen
+		after   time.Duration // from the store's return to the deletion
+		look    time.Duration // from the deletion to the look
+		want    []string
+	}{
+		{"no outage", time.Second, 0, 0, []string{}},
+		{"first answer after an outage", 4 * time.Second, 0, 0, []string{"u1=x"}},
+		{"soon after the return", 4 * time.Second, time.Second, time.Second, []string{"u1=x"}},
+		{"grace is over", 4 * time.Second, 0, LapseGrace, []string{}},
+		{"long after the return", 4 * time.Second, LapseGrace, 0, []string{}},
+	}
+	for _, tt := range tests {
+		m := New()
+		m.Contact(start)
+		m.Replace(start, Announced, 2, []Row{{Key: "u1", Version: 2, Value: []byte("x")}})
+		m.Contact(at(tt.silence))
+		deleted := at(tt.silence + tt.after)
+		for now := at(tt.silence); now.Before(deleted); now = now.Add(time.Second) {
+			m.Contact(now)
+		}
+		m.Contact(deleted)
+		m.Apply(deleted, Delta{Table: Announced, Version: 9, Rows: []Row{{Key: "u1", Version: 9, Deleted: true}}})
+		if got := keys(m, deleted.Add(tt.look), Announced); !equal(got, tt.want) {
+			t.Errorf("%s: rows are %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against a peer that drops an upstream which the reader of the store keeps.
+func TestLapsedRowsTravel(t *testing.T) {
+	a, b := New(), New()
+	a.Contact(start)
+	a.Replace(start, Announced, 2, []Row{{Key: "u1", Version: 2, Value: []byte("x")}})
+	b.Apply(start, a.Since(Announced, 0))
+	back := at(5 * time.Second)
+	a.Contact(back)
+	a.Replace(back, Announced, 8, nil)
+	b.Apply(back, a.Since(Announced, 2))
+	if got := keys(b, back, Announced); !equal(got, []string{"u1=x"}) {
+		t.Errorf("rows of the peer are %v", got)
+	}
+	if got := keys(b, back.Add(LapseGrace), Announced); len(got) != 0 {
+		t.Errorf("rows of the peer after the grace are %v", got)
+	}
+	if _, next := b.Rows(back, Announced); !next.Equal(back.Add(LapseGrace)) {
+		t.Errorf("the grace ends at %v", next)
+	}
+}
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornturn/core/htcall"
+	"hawthornturn/core/htcatalog"
 	"hawthornturn/core/htselect"
 )
 
@@ -17,6 +18,7 @@
 	sender   Sender
 	events   Events
 	now      func() time.Time
+	active   map[htcatalog.Ref]map[*run]bool // runs with a call at the upstream
 }
 
 // New returns a Relay. It takes over the selector: all later use must go through Do.
@@ -27,6 +29,7 @@
 		sender:   sender,
 		events:   events,
 		now:      now,
+		active:   map[htcatalog.Ref]map[*run]bool{},
 	}
 }
 
@@ -40,10 +43,7 @@
 // Observe takes in a report and tells other hosts if it changes choices.
 func (r *Relay) Observe(at time.Time, o htselect.Observation) {
 	r.mu.Lock()
-	differs := r.selector.Observe(at, o)
-	if o.Down {
-		r.crashes.down(at, o.Upstream)
-	}
+	differs := r.observe(at, o)
 	r.mu.Unlock()
 	if differs {
 		r.events.Observed(o)
@@ -54,10 +54,40 @@
 func (r *Relay) Learn(at time.Time, o htselect.Observation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.selector.Observe(at, o)
+	r.observe(at, o)
+}
+
+// observe takes in a report and lets the calls at the upstream look again if it has
+// become slower or is down. The caller holds r.mu.
+func (r *Relay) observe(at time.Time, o htselect.Observation) bool {
+	differs := r.selector.Observe(at, o)
 	if o.Down {
 		r.crashes.down(at, o.Upstream)
 	}
+	if differs {
+		for call := range r.active[o.Upstream] {
+			call.alert()
+		}
+	}
+	return differs
+}
+
+// enter notes that a run has a call at an upstream, and leave that it has ended. The
+// caller holds r.mu.
+func (r *Relay) enter(ref htcatalog.Ref, call *run) {
+	runs := r.active[ref]
+	if runs == nil {
+		runs = map[*run]bool{}
+		r.active[ref] = runs
+	}
+	runs[call] = true
+}
+
+func (r *Relay) leave(ref htcatalog.Ref, call *run) {
+	delete(r.active[ref], call)
+	if len(r.active[ref]) == 0 {
+		delete(r.active, ref)
+	}
 }
 
 // Serve runs a call and returns what its caller is told.
--- /dev/null
+++ b/core/htrelay/relay_test.go
@@ -0,0 +1,308 @@
+package htrelay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htselect"
+)
+
+// group is a group of one host.
+type group struct{}
+
+func (group) Size(time.Time) int { return 1 }
+
+func (group) RankAll(uint64) int { return 0 }
+
+// reaction is what a fake upstream does with a send.
+type reaction struct {
+	after time.Duration
+	reply Reply // nil: nothing until the context ends
+}
+
+// sender plays a reaction for each send, the last one again and again.
+type sender struct {
+	mu        sync.Mutex
+	reactions []reaction
+	sent      []string // upstreams in order
+	canceled  int
+	deadlines []time.Time
+}
+
+// Send implements Sender.
+func (s *sender) Send(ctx context.Context, to htcatalog.Upstream, deadline time.Time, _ *Call) Reply {
+	s.mu.Lock()
+	r := s.reactions[min(len(s.sent), len(s.reactions)-1)]
+	s.sent = append(s.sent, to.ID)
+	s.deadlines = append(s.deadlines, deadline)
+	s.mu.Unlock()
+	if r.reply == nil {
+		<-ctx.Done()
+	} else {
+		select {
+		case <-time.After(r.after):
+			return r.reply
+		case <-ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		s.canceled++
+	}
+	return Broken{Err: ctx.Err()}
+}
+
+// events counts what other hosts would be told.
+type events struct {
+	mu     sync.Mutex
+	faults int
+	downs  int
+}
+
+// Observed implements Events.
+func (e *events) Observed(o htselect.Observation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Down {
+		e.downs++
+	}
+}
+
+// Faulty implements Events.
+func (e *events) Faulty(htselect.Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults++
+}
+
+var (
+	ok      = Answered{Status: http.StatusOK, Body: []byte("whole"), Work: 50 * time.Millisecond}
+	failed  = Answered{Status: http.StatusInternalServerError}
+	notRun  = Refused{}
+	moved   = Refused{Misplaced: true}
+	reset   = Broken{Err: errors.New("reset"), Reset: true}
+	unsent  = NotSent{Err: errors.New("dial"), Refused: true}
+	silence = reaction{}
+)
+
+func after(ms int, r Reply) reaction { return reaction{time.Duration(ms) * time.Millisecond, r} }
+
+// world is a relay with three fake upstreams.
+type world struct {
+	relay  *Relay
+	sender *sender
+	events *events
+	route  *htcatalog.Route
+}
+
+func newWorld(idempotent bool, reactions ...reaction) *world {
+	route := htcatalog.Route{
+		Name: "r", Idempotent: idempotent, Timeout: time.Second, Target: 200 * time.Millisecond, Attempts: 2,
+		Parts: []htcatalog.Part{{Service: "s", Weight: 1}},
+	}
+	config := &htcatalog.Config{Routes: []htcatalog.Route{route}, Services: []htcatalog.Service{{Name: "s", ColdPerSecond: 10}}}
+	var upstreams []htcatalog.Upstream
+	for i := range 3 {
+		upstreams = append(upstreams, htcatalog.Upstream{ID: fmt.Sprintf("u%d", i), Service: "s", Domain: "a", Slots: 2})
+	}
+	limit := htselect.RetryLimit{Ratio: 1, Extra: 1000, Window: time.Second}
+	selector := htselect.New("a", group{}, limit, rand.New(rand.NewPCG(1, 2)))
+	selector.Apply(time.Now(), htcatalog.New(config, upstreams, nil))
+	w := &world{sender: &sender{reactions: reactions}, events: &events{}, route: &route}
+	w.relay = New(selector, "host", w.sender, w.events, time.Now)
+	return w
+}
+
+func (w *world) serve(ctx context.Context) *Answer {
+	now := time.Now()
+	return w.relay.Serve(ctx, &Call{
+		ID: "1", Method: http.MethodGet, Host: "h", URI: "/x/", Route: w.route, Arrived: now, Deadline: now.Add(time.Second),
+	})
+}
+
+// Guards against a second run of a call that is not idempotent, a refusal of a call that
+// may have run, and an answer given late although it is ready.
+func TestServe(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		reactions  []reaction
+		status     int
+		outcome    htcall.Outcome
+		sends      int
+	}{
+		{"answered", true, []reaction{after(50, ok)}, 200, htcall.Done, 1},
+		{"answered, not idempotent", false, []reaction{after(50, ok)}, 200, htcall.Done, 1},
+		{"failed, then answered", true, []reaction{after(50, failed), after(50, ok)}, 200, htcall.Done, 2},
+		{"failed twice: the upstream's failure is passed on", true, []reaction{after(50, failed)}, 500, htcall.Done, 2},
+		{"failed, not idempotent", false, []reaction{after(50, failed), after(50, ok)}, 500, htcall.Done, 1},
+		{"reset, then answered", true, []reaction{after(50, reset), after(50, ok)}, 200, htcall.Done, 2},
+		{"reset, not idempotent", false, []reaction{after(50, reset), after(50, ok)}, 502, htcall.Unknown, 1},
+		{"refused, then answered", false, []reaction{after(5, notRun), after(50, ok)}, 200, htcall.Done, 2},
+		{"another upstream's address", false, []reaction{after(5, moved), after(50, ok)}, 200, htcall.Done, 2},
+		{"refused everywhere", false, []reaction{after(5, notRun)}, 503, htcall.NotRun, 3},
+		{"no connection, then answered", false, []reaction{after(5, unsent), after(50, ok)}, 200, htcall.Done, 2},
+		{"no connection anywhere", true, []reaction{after(5, unsent)}, 503, htcall.NotRun, 3},
+		{"refused, then reset", false, []reaction{after(5, notRun), after(5, reset)}, 502, htcall.Unknown, 2},
+		{"reset, then refused", true, []reaction{after(5, reset), after(5, notRun)}, 502, htcall.Unknown, 3},
+		{"silent, not idempotent", false, []reaction{silence}, 504, htcall.Unknown, 1},
+		{"silent, then another answers", true, []reaction{silence, after(50, ok)}, 200, htcall.Done, 2},
+		{"late but ready", false, []reaction{after(900, ok)}, 200, htcall.Done, 1},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(tt.idempotent, tt.reactions...)
+			answer := w.serve(t.Context())
+			if answer.Status != tt.status || answer.Outcome != tt.outcome {
+				t.Errorf("%s: status %d, outcome %s, want %d, %s", tt.name, answer.Status, answer.Outcome, tt.status, tt.outcome)
+			}
+			if len(w.sender.sent) != tt.sends {
+				t.Errorf("%s: sent to %v, want %d sends", tt.name, w.sender.sent, tt.sends)
+			}
+			if answer.Status == http.StatusServiceUnavailable && answer.RetryAfter <= 0 {
+				t.Errorf("%s: the refusal does not say when to come back", tt.name)
+			}
+			time.Sleep(time.Second) // sends that nobody waits for end
+		})
+	}
+}
+
+// Guards against refusals that are held back although nothing can serve the call.
+func TestRefusalIsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(true, after(50, ok))
+		for i := range 3 {
+			w.relay.Learn(time.Now(), htselect.Observation{Upstream: htcatalog.RefOf(fmt.Sprintf("u%d", i)), Down: true})
+		}
+		begun := time.Now()
+		answer := w.serve(t.Context())
+		if answer.Status != http.StatusServiceUnavailable || time.Since(begun) > 0 || answer.RetryAfter <= 0 {
+			t.Errorf("status %d after %v, come back after %v", answer.Status, time.Since(begun), answer.RetryAfter)
+		}
+	})
+}
+
+// Guards against waiting for an upstream that became slow or went down under the call.
+func TestSecondUpstreamWhenTheFirstChanges(t *testing.T) {
+	tests := []struct {
+		name  string
+		news  htselect.Observation
+		sends int
+	}{
+		{"much slower", htselect.Observation{Speed: 800, Slots: 2}, 2},
+		{"down", htselect.Observation{Down: true}, 2},
+		{"as before", htselect.Observation{Speed: 100, Slots: 2}, 1},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(true, after(110, ok), after(40, ok))
+			for i := range 3 {
+				w.relay.Learn(time.Now(), htselect.Observation{Upstream: htcatalog.RefOf(fmt.Sprintf("u%d", i)), Speed: 100, Slots: 2})
+			}
+			go func() {
+				time.Sleep(20 * time.Millisecond)
+				w.sender.mu.Lock()
+				tt.news.Upstream = htcatalog.RefOf(w.sender.sent[0])
+				w.sender.mu.Unlock()
+				w.relay.Learn(time.Now(), tt.news)
+			}()
+			begun := time.Now()
+			answer := w.serve(t.Context())
+			if answer.Status != http.StatusOK || len(w.sender.sent) != tt.sends {
+				t.Errorf("%s: status %d after %d sends, want %d", tt.name, answer.Status, len(w.sender.sent), tt.sends)
+			}
+			if tt.sends > 1 && time.Since(begun) > 80*time.Millisecond {
+				t.Errorf("%s: answered after %v", tt.name, time.Since(begun))
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
+// Guards against upstreams that go on working for a caller that left, and against a call
+// that took effect half way because its caller left.
+func TestCallerLeaves(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		canceled   int
+	}{{"idempotent", true, 1}, {"not idempotent", false, 0}}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(tt.idempotent, after(500, ok))
+			ctx, leave := context.WithTimeout(t.Context(), 30*time.Millisecond)
+			defer leave()
+			begun := time.Now()
+			w.serve(ctx)
+			if time.Since(begun) != 30*time.Millisecond {
+				t.Errorf("%s: ended after %v", tt.name, time.Since(begun))
+			}
+			time.Sleep(time.Second)
+			if w.sender.canceled != tt.canceled {
+				t.Errorf("%s: %d sends canceled, want %d", tt.name, w.sender.canceled, tt.canceled)
+			}
+		})
+	}
+}
+
+// Guards against upstreams that get more time than the caller has left.
+func TestUpstreamGetsTheCallersDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(true, after(300, reset), after(50, ok))
+		begun := time.Now()
+		w.serve(t.Context())
+		for i, d := range w.sender.deadlines {
+			if d.Sub(begun) != time.Second {
+				t.Errorf("send %d may take until %v", i, d.Sub(begun))
+			}
+		}
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// Guards against a request that crashes one upstream after the other, and against taking
+// lost answers for crashes.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	tests := []struct {
+		name    string
+		crash   bool // the upstream is found down afterwards
+		blocked bool
+	}{{"upstreams are down afterwards", true, true}, {"upstreams go on", false, false}}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(false, after(5, reset))
+			for range crashThreshold {
+				w.serve(t.Context())
+				if tt.crash {
+					sent := w.sender.sent
+					w.relay.Learn(time.Now(), htselect.Observation{Upstream: htcatalog.RefOf(sent[len(sent)-1]), Down: true})
+				}
+			}
+			before := len(w.sender.sent)
+			answer := w.serve(t.Context())
+			if blocked := answer.Reason == htcall.ReasonQuarantined; blocked != tt.blocked {
+				t.Errorf("%s: answer %d %s", tt.name, answer.Status, answer.Reason)
+			}
+			if tt.blocked && len(w.sender.sent) != before {
+				t.Errorf("%s: the request was sent again", tt.name)
+			}
+			other := New(nil, "other", nil, nil, time.Now)
+			other.MergeCrashes(w.relay.Crashes())
+			call := &Call{Method: http.MethodGet, Host: "h", URI: "/x/"}
+			if other.crashes.blocked(time.Now(), call.fingerprint()) != tt.blocked {
+				t.Errorf("%s: another host does not agree", tt.name)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -15,9 +15,14 @@
 	// minRetryShare is the share of the usual work time that must be left for
 	// another send.
 	minRetryShare = 0.5
-	// hedgeDeviations is how many mean deviations beyond the expected time an answer
-	// must be late before a second upstream is asked.
+	// hedgeFactor is how many times the expected time an answer may take before a second
+	// upstream is asked.
 	hedgeFactor = 1.5
+	// lateShare of the target is the expected time from which an answer counts as late,
+	// since work times vary.
+	lateShare = 0.85
+	// gainShare of the remaining time is the most that a second upstream may take.
+	gainShare = 0.8
 	// hedgeFloor keeps short calls from being hedged because of a late timer.
 	hedgeFloor = 15 * time.Millisecond
 )
@@ -36,6 +41,8 @@
 	failed  *Answer // an answer to fall back on
 	broken  bool    // a send ended without saying whether it ran
 	last    *htselect.Choice
+	sent    time.Time     // when last was sent
+	alerts  chan struct{} // an upstream that runs the call has changed
 }
 
 type result struct {
@@ -44,7 +51,7 @@
 }
 
 func newRun(r *Relay, call *Call, service string) *run {
-	return &run{relay: r, call: call, service: service, results: make(chan result, maxSends+1)}
+	return &run{relay: r, call: call, service: service, results: make(chan result, maxSends+1), alerts: make(chan struct{}, 1)}
 }
 
 // serve sends the call until it has an answer, its time is over or its caller left.
@@ -66,6 +73,8 @@
 			}
 		case <-hedge.C:
 			r.hedge(sendCtx)
+		case <-r.alerts:
+			r.reconsider(sendCtx)
 		case <-deadline.C:
 			return r.trace(r.expired())
 		case <-ctx.Done():
@@ -101,6 +110,7 @@
 	choice, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
 	if refused == nil {
 		r.relay.selector.Sent(now, choice)
+		r.relay.enter(choice.Upstream.Ref(), r)
 	}
 	r.relay.mu.Unlock()
 	if refused != nil {
@@ -110,9 +120,10 @@
 	r.open++
 	r.sends++
 	r.last = choice
+	r.sent = now
 	go func() {
 		reply := r.relay.sender.Send(ctx, choice.Upstream, r.call.Deadline, r.call)
-		r.relay.settle(r.call, choice, reply)
+		r.relay.settle(r, choice, reply)
 		r.results <- result{choice, reply}
 	}()
 	return nil
@@ -205,6 +216,35 @@
 	}
 }
 
+// alert makes the run reconsider. It does not block.
+func (r *run) alert() {
+	select {
+	case r.alerts <- struct{}{}:
+	default:
+	}
+}
+
+// reconsider asks a second upstream if the one that runs the call has become so slow
+// that its answer will be late and the other's will not.
+func (r *run) reconsider(ctx context.Context) {
+	if !r.call.Route.Idempotent || r.open != 1 || r.last == nil {
+		return
+	}
+	now := r.relay.now()
+	r.relay.mu.Lock()
+	remaining := r.relay.selector.Remaining(now, r.last, r.sent)
+	down := r.relay.selector.Down(r.last)
+	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
+	r.relay.mu.Unlock()
+	if refused != nil {
+		return
+	}
+	late := now.Sub(r.call.Arrived)+remaining > time.Duration(lateShare*float64(r.call.Route.Target))
+	if down || (late && float64(other.Expected) < gainShare*float64(remaining)) {
+		r.hedge(ctx)
+	}
+}
+
 // over returns the answer of a call that can't be sent any more.
 func (r *run) over(reason htcall.Reason) *Answer {
 	switch {
--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -10,12 +10,14 @@
 )
 
 // settle takes in what one send showed of its upstream.
-func (r *Relay) settle(call *Call, c *htselect.Choice, reply Reply) {
+func (r *Relay) settle(of *run, c *htselect.Choice, reply Reply) {
+	call := of.call
 	now := r.now()
 	fault := htselect.Fault{Upstream: c.Upstream.Ref()}
 	var report *htselect.Observation
 	r.mu.Lock()
 	r.selector.Ended(c)
+	r.leave(c.Upstream.Ref(), of)
 	switch reply := reply.(type) {
 	case Answered:
 		report = reply.Report
--- a/core/htselect/observation.go
+++ b/core/htselect/observation.go
@@ -47,5 +47,5 @@
 	// FaultTimeout is for a call that did not end in its time, which is as likely the
 	// call's fault as the upstream's.
 	FaultTimeout = 0.2
-	FaultSlow   = 0.4 // much slower than its report said
+	FaultSlow    = 0.4 // much slower than its report said
 )
--- a/core/htselect/retry.go
+++ b/core/htselect/retry.go
@@ -15,7 +15,7 @@
 	// not end at the same time on all hosts.
 	retryShare = 0.6
 	// retryBurst is the most sends that a host may save up.
-	retryBurst = 3.0
+	retryBurst = 2.0
 )
 
 // retryBudget is this host's part of a RetryLimit for one service.
--- /dev/null
+++ b/core/htselect/selector_test.go
@@ -0,0 +1,312 @@
+package htselect
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htcatalog"
+)
+
+var start = time.Unix(1000, 0)
+
+// fixedGroup is a group in which this host has the same rank for all keys.
+type fixedGroup struct{ size, rank int }
+
+func (g fixedGroup) Size(time.Time) int { return g.size }
+
+func (g fixedGroup) RankAll(uint64) int { return g.rank }
+
+var limit = RetryLimit{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}
+
+func lookup() *htcatalog.Route {
+	return &htcatalog.Route{
+		Name: "lookup", Host: "h", Prefix: "/l/", Idempotent: true, Timeout: time.Second,
+		Target: 200 * time.Millisecond, Attempts: 2, Parts: []htcatalog.Part{{Service: "stock", Weight: 1}},
+	}
+}
+
+// catalog returns n upstreams of one service, spread over failure domains a and b.
+func catalog(n int, edit func(i int, u *htcatalog.Upstream)) *htcatalog.Catalog {
+	config := &htcatalog.Config{
+		Version:  1,
+		Routes:   []htcatalog.Route{*lookup()},
+		Services: []htcatalog.Service{{Name: "stock", ColdPerSecond: 12}},
+	}
+	var list []htcatalog.Upstream
+	for i := range n {
+		u := htcatalog.Upstream{
+			ID: fmt.Sprintf("u%d", i), Service: "stock", Address: fmt.Sprintf("10.0.0.%d:80", i),
+			Domain: string(rune('a' + i%2)), Slots: 3,
+		}
+		if edit != nil {
+			edit(i, &u)
+		}
+		list = append(list, u)
+	}
+	return htcatalog.New(config, list, map[string]bool{})
+}
+
+func newSelector(seed uint64, group Group, c *htcatalog.Catalog) *Selector {
+	s := New("a", group, limit, rand.New(rand.NewPCG(seed, seed)))
+	s.Apply(start, c)
+	return s
+}
+
+func report(id string, speed, running int) Observation {
+	return Observation{Upstream: htcatalog.RefOf(id), Speed: speed, Running: running, Slots: 3}
+}
+
+// choose returns the id of the chosen upstream, or the reason why there is none.
+func choose(s *Selector, now time.Time, tried ...string) string {
+	c, refused := s.Choose(now, lookup(), "stock", time.Second, tried)
+	if refused != nil {
+		return string(refused.Reason)
+	}
+	return c.Upstream.ID
+}
+
+// Guards against calls to upstreams that are slow, busy, failing or must get none.
+func TestChoose(t *testing.T) {
+	tests := []struct {
+		name  string
+		edit  func(i int, u *htcatalog.Upstream)
+		setup func(s *Selector)
+		tried []string
+		want  string
+	}{
+		{"the fast one", nil, func(s *Selector) {
+			s.Observe(start, report("u0", 400, 0))
+			s.Observe(start, report("u1", 100, 0))
+		}, nil, "u1"},
+		{"a slow one rather than a fast one with a long queue", nil, func(s *Selector) {
+			s.Observe(start, report("u0", 100, 5))
+			s.Observe(start, report("u1", 150, 0))
+		}, nil, "u1"},
+		{"not one that was tried", nil, func(s *Selector) {
+			s.Observe(start, report("u0", 400, 0))
+		}, []string{"u1"}, "u0"},
+		{"not one that drains", func(i int, u *htcatalog.Upstream) { u.Draining = i == 0 }, nil, nil, "u1"},
+		{"not one that is down", nil, func(s *Selector) {
+			s.Observe(start, Observation{Upstream: htcatalog.RefOf("u1"), Down: true})
+		}, nil, "u0"},
+		{"one that calls itself ill only if the others are late", nil, func(s *Selector) {
+			s.Observe(start, Observation{Upstream: htcatalog.RefOf("u0"), Ill: true, Speed: 100, Slots: 3})
+			s.Observe(start, report("u1", 300, 0))
+		}, nil, "u1"},
+		{"not one that failed again and again", nil, func(s *Selector) {
+			s.Observe(start, report("u0", 100, 0))
+			s.Observe(start, report("u1", 200, 0))
+			for range 3 {
+				s.Faulty(start, Fault{Upstream: htcatalog.RefOf("u0"), Weight: FaultError})
+			}
+		}, nil, "u1"},
+		{"none if all are full", nil, func(s *Selector) {
+			s.Observe(start, report("u0", 100, 9))
+			s.Observe(start, report("u1", 100, 9))
+		}, nil, string(htcall.ReasonQueueFull)},
+		{"none if all drain", func(_ int, u *htcatalog.Upstream) { u.Draining = true }, nil, nil, string(htcall.ReasonNoUpstream)},
+	}
+	for _, tt := range tests {
+		s := newSelector(1, fixedGroup{16, 0}, catalog(2, tt.edit))
+		if tt.setup != nil {
+			tt.setup(s)
+		}
+		if got := choose(s, start, tt.tried...); got != tt.want {
+			t.Errorf("%s: chose %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against work in a failure domain that was taken out.
+func TestNoWorkInADomainTakenOut(t *testing.T) {
+	c := catalog(6, nil)
+	s := newSelector(1, fixedGroup{16, 0}, htcatalog.New(c.Config, c.Upstreams, map[string]bool{"a": true}))
+	for range 50 {
+		choice, refused := s.Choose(start, lookup(), "stock", time.Second, nil)
+		if refused != nil || choice.Upstream.Domain != "b" {
+			t.Fatalf("chose %+v, %+v", choice, refused)
+		}
+		s.Sent(start, choice)
+		s.Ended(choice)
+	}
+}
+
+// Guards against all hosts choosing the upstream whose report is the newest: calls then
+// queue at one upstream while others are idle.
+func TestHostsSpreadTheirCalls(t *testing.T) {
+	const hosts, upstreams = 16, 12
+	chosen := map[string]int{}
+	for h := range hosts {
+		s := newSelector(uint64(h), fixedGroup{hosts, h}, catalog(upstreams, func(_ int, u *htcatalog.Upstream) { u.Domain = "a" }))
+		for i := range upstreams {
+			s.Observe(start.Add(time.Duration(i)*time.Millisecond), report(fmt.Sprintf("u%d", i), 100, 0))
+		}
+		chosen[choose(s, start.Add(60*time.Millisecond))]++
+	}
+	for id, n := range chosen {
+		if n > 5 {
+			t.Errorf("%d of %d hosts chose %s", n, hosts, id)
+		}
+	}
+}
+
+// Guards against more calls to a cold upstream than it bears, summed over all hosts, in
+// any second.
+func TestColdLimitHoldsOverAllHosts(t *testing.T) {
+	const hosts, perSecond = 16, 12
+	c := catalog(1, func(_ int, u *htcatalog.Upstream) { u.ColdLeft = 5 * time.Second })
+	list := make([]*Selector, hosts)
+	for h := range list {
+		list[h] = newSelector(uint64(h), fixedGroup{hosts, h}, c)
+	}
+	var sent []time.Time
+	for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		for _, s := range list {
+			choice, refused := s.Choose(now, lookup(), "stock", time.Second, nil)
+			if refused != nil {
+				continue
+			}
+			s.Sent(now, choice)
+			s.Ended(choice)
+			sent = append(sent, now)
+		}
+	}
+	for i, from := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at.Sub(from) < time.Second {
+				n++
+			}
+		}
+		if n > perSecond {
+			t.Fatalf("%d calls in the second from %v, want at most %d", n, from.Sub(start), perSecond)
+		}
+	}
+	if len(sent) < perSecond*4 {
+		t.Errorf("only %d calls in 5 s", len(sent))
+	}
+}
+
+// Guards against an upstream that went cold again without notice and is still sent its
+// whole share.
+func TestColdReportLimitsAtOnce(t *testing.T) {
+	s := newSelector(1, fixedGroup{16, 15}, catalog(1, nil))
+	if got := choose(s, start); got != "u0" {
+		t.Fatalf("chose %q", got)
+	}
+	o := report("u0", 100, 0)
+	o.Cold = 2 * time.Second
+	s.Observe(start, o)
+	if got := choose(s, start); got != string(htcall.ReasonColdLimit) {
+		t.Errorf("chose %q of a host that may not send to it", got)
+	}
+	if got := choose(s, start.Add(2*time.Second)); got != "u0" {
+		t.Errorf("chose %q after the cold start", got)
+	}
+}
+
+// Guards against more sends beyond the first than the platform allows in any window,
+// over all hosts, under a load that wants to retry every call.
+func TestRetryBudgetHoldsOverAllHosts(t *testing.T) {
+	tests := []struct {
+		hosts     int
+		perSecond int // calls to the service
+	}{{16, 227}, {16, 28}, {14, 10}, {120, 400}}
+	for _, tt := range tests {
+		list := make([]*Selector, tt.hosts)
+		for h := range list {
+			list[h] = newSelector(uint64(h), fixedGroup{tt.hosts, h}, catalog(1, nil))
+		}
+		type event struct {
+			at    time.Time
+			retry bool
+		}
+		var events []event
+		for i := range tt.perSecond * 40 {
+			now := start.Add(time.Duration(i) * time.Second / time.Duration(tt.perSecond))
+			s := list[(i*7)%tt.hosts]
+			s.Part(now, lookup())
+			events = append(events, event{now, false})
+			if s.Retry(now, "stock") {
+				events = append(events, event{now, true})
+			}
+		}
+		for i := 0; i < len(events); i += 50 {
+			first, again := 0, 0
+			for _, e := range events[i:] {
+				if e.at.Sub(events[i].at) >= limit.Window {
+					break
+				}
+				if e.retry {
+					again++
+				} else {
+					first++
+				}
+			}
+			// The window at the end is short of calls, so the first tries before it count.
+			first = max(first, tt.perSecond*10)
+			if bound := limit.Ratio*float64(first) + limit.Extra; float64(again) > bound {
+				t.Errorf("%d hosts, %d/s: %d retries in a window with %d calls, bound %.0f", tt.hosts, tt.perSecond, again, first, bound)
+				break
+			}
+		}
+	}
+}
+
+// Guards against shares of a split route that differ from its weights.
+func TestPartsGetTheirWeights(t *testing.T) {
+	route := lookup()
+	route.Parts = []htcatalog.Part{{Service: "one", Weight: 90}, {Service: "two", Weight: 10}}
+	got := map[string]int{}
+	const hosts, calls = 16, 20
+	for h := range hosts {
+		s := newSelector(uint64(h), fixedGroup{hosts, h}, catalog(1, nil))
+		for range calls {
+			got[s.Part(start, route)]++
+		}
+	}
+	if n := got["two"]; n < 22 || n > 42 {
+		t.Errorf("%d of %d calls went to the part of weight 10 in 100", n, hosts*calls)
+	}
+}
+
+// Guards against an upstream that is avoided for good after it failed.
+func TestFaultsAreForgotten(t *testing.T) {
+	s := newSelector(1, fixedGroup{16, 0}, catalog(2, func(_ int, u *htcatalog.Upstream) { u.Domain = "a" }))
+	for range 5 {
+		s.Faulty(start, Fault{Upstream: htcatalog.RefOf("u0"), Weight: FaultError})
+	}
+	later := start.Add(5 * faultMemory)
+	chosen := map[string]int{}
+	for range 40 {
+		chosen[choose(s, later)]++
+	}
+	if chosen["u0"] == 0 {
+		t.Errorf("after %v the upstream is still avoided: %v", 5*faultMemory, chosen)
+	}
+}
+
+// Guards against reports that arrive out of order.
+func TestOlderReportIsIgnored(t *testing.T) {
+	s := newSelector(1, fixedGroup{16, 0}, catalog(2, nil))
+	s.Observe(start, report("u0", 400, 0))
+	s.Observe(start.Add(-time.Millisecond), report("u0", 100, 0))
+	s.Observe(start, report("u1", 200, 0))
+	if got := choose(s, start); got != "u1" {
+		t.Errorf("chose %q by an older report", got)
+	}
+}
+
+// Guards against an upstream that starts again under its id and keeps what was known of
+// its former process.
+func TestNewIncarnationStartsAnew(t *testing.T) {
+	s := newSelector(1, fixedGroup{16, 0}, catalog(1, nil))
+	s.Observe(start, Observation{Upstream: htcatalog.RefOf("u0"), Down: true})
+	s.Apply(start, catalog(1, func(_ int, u *htcatalog.Upstream) { u.Started = 7 }))
+	if got := choose(s, start); got != "u0" {
+		t.Errorf("chose %q after the restart", got)
+	}
+}
--- a/core/htselect/send.go
+++ b/core/htselect/send.go
@@ -6,6 +6,10 @@
 // counts against the upstream.
 const slowFactor = 3.0
 
+// minRemaining is the share of the work that a call is assumed to have left, however
+// long it has run: work times vary.
+const minRemaining = 0.25
+
 // Sent says that a call is being sent to the chosen upstream.
 func (s *Selector) Sent(now time.Time, c *Choice) {
 	c.state.inFlight++
@@ -23,6 +27,17 @@
 	}
 }
 
+// Remaining returns the expected time until the answer of a call that was sent a while
+// ago, from what is known of the upstream now.
+func (s *Selector) Remaining(now time.Time, c *Choice, sent time.Time) time.Duration {
+	done := float64(now.Sub(sent)) / max(1, float64(c.Expected))
+	work := max(1-done, minRemaining) * float64(c.Work)
+	return time.Duration(work * c.state.speed(now))
+}
+
+// Down reports whether the chosen upstream accepts no connection any more.
+func (s *Selector) Down(c *Choice) bool { return c.state.report.Down }
+
 // Answered says how long the upstream worked on a call and how long the answer is. It
 // returns the fault that this shows, of weight 0 if there is none.
 func (s *Selector) Answered(c *Choice, took time.Duration, bytes int) Fault {
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -24,6 +24,8 @@
 	// announceDelay gathers changes that come at the same moment into one datagram.
 	announceDelay = 3 * time.Millisecond
 	maxChanges    = 256
+	// passDelay is how long rows may take by way of the host that passes messages on.
+	passDelay = 60 * time.Millisecond
 )
 
 // change is something that other hosts are told at once: an observation or a fault.
@@ -121,9 +123,11 @@
 }
 
 // sendBeat sends a beat to running hosts, and to quiet ones too if all is set.
-func (e *Entry) sendBeat(all bool) {
+func (e *Entry) sendBeat(all bool) { e.send(e.newBeat(), all) }
+
+func (e *Entry) newBeat() *htgossip.Message {
 	now := e.timers.Now()
-	m := &htgossip.Message{Beat: true, Crashes: e.relay.Crashes()}
+	m := &htgossip.Message{Beat: true, Domain: e.settings.Self.Domain, Crashes: e.relay.Crashes()}
 	watched := e.watched(now)
 	e.relay.Do(func(s *htselect.Selector) {
 		for _, u := range watched {
@@ -133,22 +137,36 @@
 			}
 		}
 	})
-	e.send(m, all)
+	return m
 }
 
-func (e *Entry) send(m *htgossip.Message, all bool) {
+// fill adds what every message tells of its sender.
+func (e *Entry) fill(m *htgossip.Message) {
 	now := e.timers.Now()
+	m.Leaving = e.stopping.Load()
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	m.Versions = e.mirror.Versions()
 	m.Store = -1
 	if age := e.group.StoreAge(now); age >= 0 {
 		m.Store = age.Milliseconds()
 	}
-	running, quiet := e.group.Others(now)
+}
+
+// send sends a message to the hosts of this failure domain and, by way of one host of
+// each, to those of the others. If all is set, silent hosts get it too.
+func (e *Entry) send(m *htgossip.Message, all bool) {
+	e.fill(m)
+	now := e.timers.Now()
+	e.mu.Lock()
+	near, far := e.group.Near(now), e.group.Far(now)
+	_, quiet := e.group.Others(now)
 	e.mu.Unlock()
-	m.Leaving = e.stopping.Load()
-	e.transmit(m, running)
+	e.transmit(m, near)
+	m.Pass = true
+	e.transmit(m, far)
 	if all && len(quiet) > 0 {
+		m.Pass = false
 		m.Asks = true
 		m.Name = e.settings.Self.Name
 		e.transmit(m, quiet)
@@ -159,9 +177,6 @@
 	if len(to) == 0 {
 		return
 	}
-	if m.Beat {
-		m.Domain = e.settings.Self.Domain
-	}
 	data, err := m.Encode()
 	if err != nil {
 		logrus.WithFields(logrus.Fields{"event": "message-not-encoded"}).WithError(err).Error("message to other hosts lost")
@@ -177,10 +192,13 @@
 
 // receive takes in a datagram of another host.
 func (e *Entry) receive(from netip.AddrPort, m *htgossip.Message) {
-	if from == e.settings.Self.Address {
+	if m.Source(from) == e.settings.Self.Address {
 		return
 	}
 	now := e.timers.Now()
+	if m.Pass {
+		e.passOn(now, from, m)
+	}
 	for _, r := range m.Reports {
 		e.relay.Learn(now.Add(-r.Age()), r.Observation())
 	}
@@ -199,19 +217,32 @@
 	}
 }
 
+// passOn sends a message from another failure domain to the hosts of this one: bytes
+// between failure domains are paid for, those within are not.
+func (e *Entry) passOn(now time.Time, from netip.AddrPort, m *htgossip.Message) {
+	copied := *m
+	copied.Pass = false
+	copied.Origin = from.String()
+	e.mu.Lock()
+	near := e.group.Near(now)
+	e.mu.Unlock()
+	e.transmit(&copied, near)
+}
+
 // heard takes in a sign of life.
 func (e *Entry) heard(now time.Time, from netip.AddrPort, m *htgossip.Message) {
-	member := htgroup.Member{Name: m.Name, Address: from, Domain: m.Domain}
+	source := m.Source(from)
+	member := htgroup.Member{Name: m.Name, Address: source, Domain: m.Domain}
 	e.mu.Lock()
 	silent := e.group.Heard(now, member, m.StoreAge(), m.Leaving)
-	behind := e.mirror.Versions().Behind(m.Versions)
+	behind := e.mirror.Versions().Behind(m.Versions) && e.fetchNow(now, m)
 	e.mu.Unlock()
 	if silent {
-		logrus.WithFields(logrus.Fields{"event": "host-heard", "address": from, "failure-domain": m.Domain}).Info("host is running")
+		logrus.WithFields(logrus.Fields{"event": "host-heard", "address": source, "failure-domain": m.Domain}).Info("host is running")
 	}
 	if behind {
 		select {
-		case e.behind <- from:
+		case e.behind <- source:
 		default: // a fetch is under way; the next beat asks again
 		}
 	}
@@ -220,6 +251,21 @@
 	}
 }
 
+// fetchNow reports whether to fetch rows because of a message. After one that was passed
+// on, the host that passed it on has the rows soon, and tells; its origin is asked only
+// if that takes too long. The caller holds e.mu.
+func (e *Entry) fetchNow(now time.Time, m *htgossip.Message) bool {
+	if m.Origin == "" {
+		e.behindSince = time.Time{}
+		return true
+	}
+	if e.behindSince.IsZero() || now.Sub(e.behindSince) > 2*beatPeriod {
+		e.behindSince = now
+		return false
+	}
+	return now.Sub(e.behindSince) > passDelay
+}
+
 // watches reports whether this host probes the upstream.
 func (e *Entry) watches(ref htcatalog.Ref) bool {
 	for _, u := range e.watched(e.timers.Now()) {
@@ -244,3 +290,11 @@
 	}
 	return list
 }
+
+// tellNear sends a beat to the hosts of this failure domain, which names the versions
+// that this host has just got.
+func (e *Entry) tellNear(near []htgroup.Member) {
+	m := e.newBeat()
+	e.fill(m)
+	e.transmit(m, near)
+}
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -73,12 +73,13 @@
 	relay    *htrelay.Relay
 	rng      *rand.Rand
 
-	mu       sync.Mutex // guards the fields below
-	group    *htgroup.Group
-	mirror   *htmirror.Mirror
-	decoded  map[string]decoded
-	config   *htcatalog.Config
-	graceEnd time.Time // when the next lapsed upstream is dropped
+	mu          sync.Mutex // guards the fields below
+	group       *htgroup.Group
+	mirror      *htmirror.Mirror
+	decoded     map[string]decoded
+	config      *htcatalog.Config
+	graceEnd    time.Time // when the next lapsed upstream is dropped
+	behindSince time.Time // when a message that was passed on named newer rows
 
 	catalog  atomic.Pointer[htcatalog.Catalog]
 	stopping atomic.Bool
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -16,9 +16,9 @@
 const (
 	// LongestPoll is the length of a long poll. A reader that is cut off without
 	// notice is found out after it; the bound on configuration is 2 s.
-	LongestPoll = time.Second
+	LongestPoll = 900 * time.Millisecond
 	// dutyPeriod is the time between looks at who reads the store.
-	dutyPeriod = 50 * time.Millisecond
+	dutyPeriod = 100 * time.Millisecond
 	// retryPeriod is the time between tries of the first hosts in rank while the store
 	// does not answer; others try retrySlow as often, since each call is paid for.
 	retryPeriod = 300 * time.Millisecond
@@ -174,9 +174,11 @@
 	if changed {
 		e.rebuild(now)
 	}
+	near := e.group.Near(now)
 	e.mu.Unlock()
 	if changed {
 		e.applyCatalog(now)
+		e.tellNear(near)
 	}
 }
 
--- a/io/htgossip/message.go
+++ b/io/htgossip/message.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -30,6 +31,8 @@
 	Crashes  []htroute.CrashCount `cbor:"8,keyasint,omitempty"`
 	Beat     bool                 `cbor:"9,keyasint,omitempty"`  // Reports is all that the sender watches
 	Asks     bool                 `cbor:"10,keyasint,omitempty"` // the sender wants an answer, since it has just started
+	Pass     bool                 `cbor:"11,keyasint,omitempty"` // the receiver is to pass the message on in its failure domain
+	Origin   string               `cbor:"12,keyasint,omitempty"` // the sender of a message that was passed on
 }
 
 // Report is an observation of an upstream.
@@ -101,6 +104,14 @@
 // value if it has none.
 func (m *Message) StoreAge() time.Duration { return time.Duration(m.Store) * time.Millisecond }
 
+// Source returns the host that made the message, which came from an address.
+func (m *Message) Source(from netip.AddrPort) netip.AddrPort {
+	if origin, err := netip.ParseAddrPort(m.Origin); err == nil {
+		return origin
+	}
+	return from
+}
+
 // Encode returns the datagram of m.
 func (m *Message) Encode() ([]byte, error) {
 	data, err := cbor.Marshal(m)
@@ -124,5 +135,10 @@
 			return nil, errVersion
 		}
 	}
+	if m.Origin != "" {
+		if _, err := netip.ParseAddrPort(m.Origin); err != nil {
+			return nil, fmt.Errorf("origin of message: %w", err)
+		}
+	}
 	return &m, nil
 }
