htselect: an answer does not end the cold start of an upstream

Cause: the load header of an answer does not tell of the cold start, and was taken for a report of none. Test: TestAnswerDoesNotEndColdStart.

--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -44,9 +44,10 @@
 func (r *Relay) Observe(at time.Time, o htselect.Observation) {
 	r.mu.Lock()
 	differs := r.observe(at, o)
+	told, _ := r.selector.Report(o.Upstream)
 	r.mu.Unlock()
 	if differs {
-		r.events.Observed(o)
+		r.events.Observed(told)
 	}
 }
 
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -37,9 +37,9 @@
 	busyShare = 0.4
 	// refusalPause is how long an upstream that refused a call gets none.
 	refusalPause = 60 * time.Millisecond
-	// retryAfterMin and retryAfterMax bound what a caller is told to wait.
-	retryAfterMin = 50 * time.Millisecond
-	retryAfterMax = time.Second
+	// shortestWait and longestWait bound what a caller is told to wait.
+	shortestWait = 50 * time.Millisecond
+	longestWait = time.Second
 )
 
 // Choice is the upstream for one send, with the inputs of the decision.
@@ -68,15 +68,15 @@
 func (s *Selector) Choose(now time.Time, r *htcatalog.Route, serviceName string, left time.Duration, tried []string) (*Choice, *Refused) {
 	sv := s.services[serviceName]
 	if sv == nil || len(sv.upstreams) == 0 {
-		return nil, &Refused{Reason: htcall.ReasonNoUpstream, RetryAfter: retryAfterMax}
+		return nil, &Refused{Reason: htcall.ReasonNoUpstream, RetryAfter: longestWait}
 	}
 	state := s.route(r)
 	var best *upstream
 	bestScore := math.Inf(1)
 	full, cold := false, false
-	wait := retryAfterMax
+	wait := longestWait
 	for _, u := range sv.upstreams {
-		if !s.usable(now, u) || slices.Contains(tried, u.declared.ID) {
+		if !s.usable(u) || slices.Contains(tried, u.declared.ID) {
 			continue
 		}
 		if u.cold(now) {
@@ -95,17 +95,17 @@
 			best, bestScore = u, score
 		}
 	}
-	wait = max(wait, retryAfterMin)
+	wait = max(wait, shortestWait)
 	switch {
 	case best == nil && full:
 		return nil, &Refused{Reason: htcall.ReasonQueueFull, RetryAfter: wait}
 	case best == nil && cold:
 		return nil, &Refused{Reason: htcall.ReasonColdLimit, RetryAfter: wait}
 	case best == nil:
-		return nil, &Refused{Reason: htcall.ReasonNoUpstream, RetryAfter: retryAfterMax}
+		return nil, &Refused{Reason: htcall.ReasonNoUpstream, RetryAfter: longestWait}
 	}
 	if best.wait(now, state.work.mean) > float64(left) {
-		return nil, &Refused{Reason: htcall.ReasonDeadline, RetryAfter: max(retryAfterMin, time.Duration(best.wait(now, state.work.mean))/2)}
+		return nil, &Refused{Reason: htcall.ReasonDeadline, RetryAfter: max(shortestWait, time.Duration(best.wait(now, state.work.mean))/2)}
 	}
 	return s.choice(now, best, state), nil
 }
@@ -129,7 +129,7 @@
 }
 
 // usable reports whether u may get work at all.
-func (s *Selector) usable(now time.Time, u *upstream) bool {
+func (s *Selector) usable(u *upstream) bool {
 	if u.declared.Draining || u.misplaced || s.catalog.Out[u.declared.Domain] {
 		return false
 	}
--- a/core/htselect/observation.go
+++ b/core/htselect/observation.go
@@ -14,6 +14,7 @@
 	Waiting  int
 	Slots    int
 	Cold     time.Duration // how long the upstream stays cold
+	ColdTold bool          // the upstream told Cold; answers to calls do not
 	Down     bool          // it accepts no connection
 	Ill      bool          // its health path reports a failure
 }
--- a/core/htselect/selector_test.go
+++ b/core/htselect/selector_test.go
@@ -198,7 +198,7 @@
 		t.Fatalf("chose %q", got)
 	}
 	o := report("u0", 100, 0)
-	o.Cold = 2 * time.Second
+	o.ColdTold, o.Cold = true, 2*time.Second
 	s.Observe(start, o)
 	if got := choose(s, start); got != string(htcall.ReasonColdLimit) {
 		t.Errorf("chose %q of a host that may not send to it", got)
@@ -310,3 +310,25 @@
 		t.Errorf("chose %q after the restart", got)
 	}
 }
+
+// Guards against taking a cold upstream for warm because an answer, which tells the load
+// only, says nothing of it.
+func TestAnswerDoesNotEndColdStart(t *testing.T) {
+	s := newSelector(1, fixedGroup{16, 15}, catalog(1, nil))
+	probed := report("u0", 100, 0)
+	probed.ColdTold, probed.Cold = true, 2*time.Second
+	s.Observe(start, probed)
+	s.Observe(start.Add(100*time.Millisecond), report("u0", 100, 1))
+	if got := choose(s, start.Add(200*time.Millisecond)); got != string(htcall.ReasonColdLimit) {
+		t.Errorf("chose %q", got)
+	}
+	if told, _ := s.Report(htcatalog.RefOf("u0")); told.Cold != 1900*time.Millisecond {
+		t.Errorf("other hosts are told %v of cold start", told.Cold)
+	}
+	warm := report("u0", 100, 1)
+	warm.ColdTold = true
+	s.Observe(start.Add(300*time.Millisecond), warm)
+	if got := choose(s, start.Add(300*time.Millisecond)); got != "u0" {
+		t.Errorf("chose %q after the upstream said that it is warm", got)
+	}
+}
--- a/core/htselect/upstream.go
+++ b/core/htselect/upstream.go
@@ -86,6 +86,9 @@
 	if at.Before(u.seen) {
 		return
 	}
+	if !o.ColdTold {
+		o.Cold = max(0, u.coldUntil.Sub(at))
+	}
 	u.report = o
 	u.seen = at
 	u.changed = at
--- a/io/htgossip/message.go
+++ b/io/htgossip/message.go
@@ -92,6 +92,7 @@
 		Waiting:  int(r.Waiting),
 		Slots:    int(r.Slots),
 		Cold:     time.Duration(r.ColdMS) * time.Millisecond,
+		ColdTold: true,
 		Down:     r.State&stateDown != 0,
 		Ill:      r.State&stateIll != 0,
 	}
