--- a/core/htrelay/port.go
+++ b/core/htrelay/port.go
@@ -56,4 +56,6 @@
 type Events interface {
 	Observed(o htselect.Observation)
 	Faulty(f htselect.Fault)
+	// Counted says that the number of this host's calls at an upstream has changed.
+	Counted(ref htcatalog.Ref)
 }
--- a/core/htrelay/relay_test.go
+++ b/core/htrelay/relay_test.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// Counted implements Events.
+func (e *events) Counted(htcatalog.Ref) {}
+
 // Faulty implements Events.
 func (e *events) Faulty(htselect.Fault) {
 	e.mu.Lock()
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -116,6 +116,7 @@
 	if refused != nil {
 		return refused
 	}
+	r.relay.events.Counted(choice.Upstream.Ref())
 	r.tried = append(r.tried, choice.Upstream.ID)
 	r.open++
 	r.sends++
--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -52,6 +52,7 @@
 	}
 	r.selector.Faulty(now, fault)
 	r.mu.Unlock()
+	r.events.Counted(c.Upstream.Ref())
 	if fault.Weight > 0 {
 		r.events.Faulty(fault)
 	}
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -39,7 +39,7 @@
 	refusalPause = 60 * time.Millisecond
 	// shortestWait and longestWait bound what a caller is told to wait.
 	shortestWait = 50 * time.Millisecond
-	longestWait = time.Second
+	longestWait  = time.Second
 )
 
 // Choice is the upstream for one send, with the inputs of the decision.
--- a/core/htselect/send.go
+++ b/core/htselect/send.go
@@ -1,6 +1,10 @@
 package htselect
 
-import "time"
+import (
+	"time"
+
+	"hawthornturn/core/htcatalog"
+)
 
 // slowFactor is how many times the expected work time an answer may take before it
 // counts against the upstream.
@@ -13,7 +17,6 @@
 // Sent says that a call is being sent to the chosen upstream.
 func (s *Selector) Sent(now time.Time, c *Choice) {
 	c.state.inFlight++
-	c.state.sentSince++
 	if c.state.cold(now) {
 		c.state.coldSent = now
 	}
@@ -22,9 +25,39 @@
 // Ended says that the call is no longer at the upstream, whatever came of it.
 func (s *Selector) Ended(c *Choice) {
 	c.state.inFlight--
-	if c.state.doneSince < c.state.sentSince {
-		c.state.doneSince++
+}
+
+// InFlight returns the calls of this host at an upstream.
+func (s *Selector) InFlight(ref htcatalog.Ref) int {
+	if u := s.byRef[ref]; u != nil {
+		return u.inFlight
+	}
+	return 0
+}
+
+// EachInFlight calls f for each upstream at which this host has calls.
+func (s *Selector) EachInFlight(f func(ref htcatalog.Ref, calls int)) {
+	for ref, u := range s.byRef {
+		if u.inFlight > 0 {
+			f(ref, u.inFlight)
+		}
+	}
+}
+
+// Told says how many calls another host has at an upstream.
+func (s *Selector) Told(now time.Time, by Peer, ref htcatalog.Ref, calls int) {
+	u := s.byRef[ref]
+	if u == nil {
+		return
+	}
+	if u.others == nil {
+		u.others = map[Peer]count{}
+	}
+	if calls == 0 {
+		delete(u.others, by)
+		return
 	}
+	u.others[by] = count{calls, now}
 }
 
 // Remaining returns the expected time until the answer of a call that was sent a while
--- a/core/htselect/upstream.go
+++ b/core/htselect/upstream.go
@@ -23,6 +23,19 @@
 	unknownSpeed = 200.0
 )
 
+// Peer identifies another host.
+type Peer uint32
+
+// count is the number of calls that a host has at an upstream.
+type count struct {
+	calls int
+	at    time.Time
+}
+
+// countLimit is the age above which what a host told of its calls no longer counts. The
+// counts are repeated with each beat.
+const countLimit = 700 * time.Millisecond
+
 // upstream is what this host knows of one upstream.
 type upstream struct {
 	declared  htcatalog.Upstream
@@ -31,8 +44,8 @@
 	seen      time.Time // when the report was valid last
 	changed   time.Time // when the report was taken
 	inFlight  int       // calls of this host
-	sentSince int       // calls of this host sent after the report
-	doneSince int       // calls of this host ended after the report
+	others    map[Peer]count
+	foreign   int // reported calls that no host told of
 	coldUntil time.Time
 	coldSent  time.Time // last call of this host while the upstream was cold
 	avoid     time.Time // refused a call; gets none until then
@@ -67,8 +80,18 @@
 
 // load returns the calls that the upstream has now, from all hosts.
 func (u *upstream) load(now time.Time) float64 {
-	reported := float64(u.report.Running+u.report.Waiting)*u.trust(now) + float64(u.sentSince-u.doneSince)
-	return max(float64(u.inFlight), reported)
+	return float64(u.known(now)) + float64(u.foreign)*u.trust(now)
+}
+
+// known returns the calls that this host and the others say they have at the upstream.
+func (u *upstream) known(now time.Time) int {
+	n := u.inFlight
+	for _, c := range u.others {
+		if now.Sub(c.at) < countLimit {
+			n += c.calls
+		}
+	}
+	return n
 }
 
 // fault returns the recent faults, in failed calls.
@@ -92,8 +115,7 @@
 	u.report = o
 	u.seen = at
 	u.changed = at
-	u.sentSince = 0
-	u.doneSince = 0
+	u.foreign = max(0, o.Running+o.Waiting-u.known(at))
 	if o.Down {
 		return
 	}
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -28,10 +29,12 @@
 	passDelay = 60 * time.Millisecond
 )
 
-// change is something that other hosts are told at once: an observation or a fault.
+// change is something that other hosts are told at once: an observation, a fault or a
+// new number of calls at an upstream.
 type change struct {
 	observation *htselect.Observation
 	fault       *htselect.Fault
+	counted     htcatalog.Ref
 }
 
 // Observed implements htrelay.Events. Only the host that watches the upstream tells
@@ -46,6 +49,9 @@
 // Faulty implements htrelay.Events.
 func (e *Entry) Faulty(f htselect.Fault) { e.tell(change{fault: &f}) }
 
+// Counted implements htrelay.Events.
+func (e *Entry) Counted(ref htcatalog.Ref) { e.tell(change{counted: ref}) }
+
 func (e *Entry) tell(c change) {
 	select {
 	case e.changes <- c:
@@ -71,18 +77,28 @@
 
 func (e *Entry) sendChanges(first change) {
 	m := &htgossip.Message{}
+	counted := map[htcatalog.Ref]bool{}
 	add := func(c change) {
 		switch {
 		case c.observation != nil:
 			m.Reports = append(m.Reports, htgossip.NewReport(*c.observation, announceDelay))
 		case c.fault != nil:
 			m.Faults = append(m.Faults, htgossip.Fault{Upstream: c.fault.Upstream, Percent: uint8(100 * c.fault.Weight)})
+		default:
+			counted[c.counted] = true
 		}
 	}
 	add(first)
 	for len(e.changes) > 0 && len(m.Reports)+len(m.Faults) < maxChanges/8 {
 		add(<-e.changes)
 	}
+	if len(counted) > 0 {
+		e.relay.Do(func(s *htselect.Selector) {
+			for ref := range counted {
+				m.Counts = append(m.Counts, htgossip.NewCount(ref, s.InFlight(ref)))
+			}
+		})
+	}
 	e.send(m, false)
 }
 
@@ -136,6 +152,7 @@
 				m.Reports = append(m.Reports, htgossip.NewReport(report, now.Sub(seen)))
 			}
 		}
+		s.EachInFlight(func(ref htcatalog.Ref, calls int) { m.Counts = append(m.Counts, htgossip.NewCount(ref, calls)) })
 	})
 	return m
 }
@@ -202,6 +219,14 @@
 	for _, r := range m.Reports {
 		e.relay.Learn(now.Add(-r.Age()), r.Observation())
 	}
+	if len(m.Counts) > 0 {
+		peer := peerOf(m.Source(from))
+		e.relay.Do(func(s *htselect.Selector) {
+			for _, c := range m.Counts {
+				s.Told(now, peer, c.Upstream, int(c.Calls))
+			}
+		})
+	}
 	if len(m.Faults) > 0 {
 		e.relay.Do(func(s *htselect.Selector) {
 			for _, f := range m.Faults {
@@ -217,6 +242,12 @@
 	}
 }
 
+// peerOf returns the short name of a host in the selector.
+func peerOf(address netip.AddrPort) htselect.Peer {
+	ip := address.Addr().As4()
+	return htselect.Peer(binary.BigEndian.Uint32(ip[:]))
+}
+
 // passOn sends a message from another failure domain to the hosts of this one: bytes
 // between failure domains are paid for, those within are not.
 func (e *Entry) passOn(now time.Time, from netip.AddrPort, m *htgossip.Message) {
--- a/io/htgossip/message.go
+++ b/io/htgossip/message.go
@@ -31,10 +31,21 @@
 	Crashes  []htroute.CrashCount `cbor:"8,keyasint,omitempty"`
 	Beat     bool                 `cbor:"9,keyasint,omitempty"`  // Reports is all that the sender watches
 	Asks     bool                 `cbor:"10,keyasint,omitempty"` // the sender wants an answer, since it has just started
+	Counts   []Count              `cbor:"13,keyasint,omitempty"` // in a beat, all that are not zero
 	Pass     bool                 `cbor:"11,keyasint,omitempty"` // the receiver is to pass the message on in its failure domain
 	Origin   string               `cbor:"12,keyasint,omitempty"` // the sender of a message that was passed on
 }
 
+// Count says how many calls the sender has at an upstream.
+type Count struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream htcatalog.Ref
+	Calls    uint16
+}
+
+// NewCount returns a Count.
+func NewCount(ref htcatalog.Ref, calls int) Count { return Count{Upstream: ref, Calls: short(calls)} }
+
 // Report is an observation of an upstream.
 type Report struct {
 	_        struct{} `cbor:",toarray"`
