--- a/core/htrelay/call.go
+++ b/core/htrelay/call.go
@@ -52,6 +52,7 @@
 	Upstream string
 	Sends    int
 	Hedges   int
+	Waited   time.Duration
 	Speed    float64
 	Load     float64
 	Age      time.Duration
--- /dev/null
+++ b/core/htrelay/queue.go
@@ -0,0 +1,179 @@
+package htrelay
+
+import (
+	"slices"
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htselect"
+)
+
+const (
+	// lookPeriod is the time between looks of a waiting call that no event wakes: cold
+	// upstreams and pauses after a refusal end by themselves.
+	lookPeriod = 10 * time.Millisecond
+	// maxWaiting bounds the calls that wait for one service.
+	maxWaiting = 256
+)
+
+// waiter is a call that waits for a good upstream.
+type waiter struct {
+	run     *run
+	since   time.Time
+	until   time.Time // from then on any upstream will do; zero: not known yet
+	granted chan *htselect.Choice
+}
+
+// queue holds the waiters of a service, the most urgent first, then by arrival.
+type queue struct {
+	waiters []*waiter
+}
+
+func (q *queue) add(w *waiter) {
+	at := len(q.waiters)
+	for at > 0 && q.waiters[at-1].run.call.Route.Priority > w.run.call.Route.Priority {
+		at--
+	}
+	q.waiters = slices.Insert(q.waiters, at, w)
+}
+
+// remove reports whether w was still waiting.
+func (q *queue) remove(w *waiter) bool {
+	at := slices.Index(q.waiters, w)
+	if at < 0 {
+		return false
+	}
+	q.waiters = slices.Delete(q.waiters, at, at+1)
+	return true
+}
+
+// ahead counts the waiters that come before a call of that priority.
+func (q *queue) ahead(priority int) int {
+	n := 0
+	for _, w := range q.waiters {
+		if w.run.call.Route.Priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
+// acquire takes an upstream for the first send of a call, or makes the call wait. It
+// returns the choice, the waiter or the refusal.
+func (r *Relay) acquire(of *run) (*htselect.Choice, *waiter, *htselect.Refused) {
+	now := r.now()
+	route := of.call.Route
+	left := of.call.Deadline.Sub(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.queues[of.service]
+	if q == nil {
+		q = &queue{}
+		r.queues[of.service] = q
+	}
+	ahead := q.ahead(route.Priority)
+	choice, refused := r.selector.Choose(now, route, of.service, left, of.tried)
+	switch {
+	case refused != nil && !refused.MayPass:
+		return nil, nil, refused
+	case refused == nil && ahead == 0 && choice.Good():
+		r.take(now, of, choice)
+		return choice, nil, nil
+	}
+	if refused != nil || ahead > 0 {
+		wait := r.selector.Wait(now, route, of.service, ahead)
+		if refused != nil && refused.Reason == htcall.ReasonColdLimit {
+			wait = refused.RetryAfter
+		}
+		if wait > left || len(q.waiters) >= maxWaiting {
+			return nil, nil, &htselect.Refused{Reason: htcall.ReasonQueueFull, RetryAfter: wait}
+		}
+	}
+	w := &waiter{run: of, since: now, granted: make(chan *htselect.Choice, 1)}
+	if choice != nil {
+		w.until = now.Add(choice.Patience(route.Target))
+	}
+	q.add(w)
+	return nil, w, nil
+}
+
+// take counts a call that is about to be sent. The caller holds r.mu.
+func (r *Relay) take(now time.Time, of *run, choice *htselect.Choice) {
+	r.selector.Sent(now, choice)
+	r.enter(choice.Upstream.Ref(), of)
+}
+
+// pump grants upstreams to waiting calls. The caller holds r.mu.
+func (r *Relay) pump(service string) {
+	q := r.queues[service]
+	if q == nil {
+		return
+	}
+	now := r.now()
+	for len(q.waiters) > 0 {
+		w := q.waiters[0]
+		call := w.run.call
+		choice, refused := r.selector.Choose(now, call.Route, service, call.Deadline.Sub(now), w.run.tried)
+		if refused != nil {
+			return
+		}
+		if w.until.IsZero() {
+			w.until = now.Add(choice.Patience(call.Route.Target))
+		}
+		if !choice.Good() && now.Before(w.until) {
+			return
+		}
+		q.waiters = slices.Delete(q.waiters, 0, 1)
+		r.take(now, w.run, choice)
+		w.granted <- choice
+	}
+}
+
+// pumpAll grants upstreams to the waiting calls of all services. The caller holds r.mu.
+func (r *Relay) pumpAll() {
+	for service, q := range r.queues {
+		if len(q.waiters) > 0 {
+			r.pump(service)
+		}
+	}
+}
+
+// Pump lets waiting calls look again after news of other hosts.
+func (r *Relay) Pump() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pumpAll()
+}
+
+// abandon takes a waiter out of its queue. It returns the choice if one was granted
+// meanwhile.
+func (r *Relay) abandon(w *waiter) *htselect.Choice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.queues[w.run.service].remove(w) {
+		return nil
+	}
+	return <-w.granted
+}
+
+// look lets a waiting call look again. It takes the call out of the queue and reports so if
+// too little time is left.
+func (r *Relay) look(w *waiter) bool {
+	now := r.now()
+	call := w.run.call
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pump(w.run.service)
+	q := r.queues[w.run.service]
+	if slices.Contains(q.waiters, w) && call.Deadline.Sub(now) < r.selector.Shortest(call.Route) {
+		return q.remove(w)
+	}
+	return false
+}
+
+// waitFor returns when a refused call may come back.
+func (r *Relay) waitFor(of *run) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.selector.Wait(r.now(), of.call.Route, of.service, len(r.queues[of.service].waiters))
+}
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -19,6 +19,7 @@
 	events   Events
 	now      func() time.Time
 	active   map[htcatalog.Ref]map[*run]bool // runs with a call at the upstream
+	queues   map[string]*queue               // by service
 }
 
 // New returns a Relay. It takes over the selector: all later use must go through Do.
@@ -30,6 +31,7 @@
 		events:   events,
 		now:      now,
 		active:   map[htcatalog.Ref]map[*run]bool{},
+		queues:   map[string]*queue{},
 	}
 }
 
@@ -69,6 +71,7 @@
 		for call := range r.active[o.Upstream] {
 			call.alert()
 		}
+		r.pumpAll()
 	}
 	return differs
 }
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -38,8 +38,9 @@
 	ran     int // sends that ran or may have run
 	sends   int
 	hedges  int
-	failed  *Answer // an answer to fall back on
-	broken  bool    // a send ended without saying whether it ran
+	failed  *Answer       // an answer to fall back on
+	broken  bool          // a send ended without saying whether it ran
+	waited  time.Duration // for the first upstream
 	last    *htselect.Choice
 	sent    time.Time     // when last was sent
 	alerts  chan struct{} // an upstream that runs the call has changed
@@ -58,8 +59,8 @@
 func (r *run) serve(ctx context.Context) *Answer {
 	sendCtx, cancel := r.sendContext(ctx)
 	defer cancel()
-	if refused := r.send(sendCtx); refused != nil {
-		return r.trace(r.refused(refused))
+	if answer := r.first(ctx, sendCtx); answer != nil {
+		return r.trace(answer)
 	}
 	deadline := time.NewTimer(r.call.Deadline.Sub(r.relay.now()))
 	defer deadline.Stop()
@@ -103,31 +104,76 @@
 	}
 }
 
+// first sends the call to an upstream, after a wait if no good one is free. It returns an
+// answer if that fails.
+func (r *run) first(ctx, sendCtx context.Context) *Answer {
+	choice, w, refused := r.relay.acquire(r)
+	switch {
+	case refused != nil:
+		return r.refused(refused)
+	case choice != nil:
+		r.start(sendCtx, choice)
+		return nil
+	}
+	look := time.NewTicker(lookPeriod)
+	defer look.Stop()
+	for {
+		select {
+		case choice := <-w.granted:
+			r.waited = r.relay.now().Sub(w.since)
+			r.start(sendCtx, choice)
+			return nil
+		case <-ctx.Done():
+			r.giveBack(r.relay.abandon(w))
+			return undecided(htcall.ReasonCanceled)
+		case <-look.C:
+		}
+		if r.relay.look(w) {
+			return refusal(htcall.ReasonQueueFull, r.relay.waitFor(r))
+		}
+	}
+}
+
+// giveBack releases an upstream that was granted to a call that has ended meanwhile.
+func (r *run) giveBack(choice *htselect.Choice) {
+	if choice == nil {
+		return
+	}
+	r.relay.mu.Lock()
+	defer r.relay.mu.Unlock()
+	r.relay.selector.Ended(choice)
+	r.relay.leave(choice.Upstream.Ref(), r)
+}
+
 // send chooses an upstream and sends the call there.
 func (r *run) send(ctx context.Context) *htselect.Refused {
 	now := r.relay.now()
 	r.relay.mu.Lock()
 	choice, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
 	if refused == nil {
-		r.relay.selector.Sent(now, choice)
-		r.relay.enter(choice.Upstream.Ref(), r)
+		r.relay.take(now, r, choice)
 	}
 	r.relay.mu.Unlock()
 	if refused != nil {
 		return refused
 	}
+	r.start(ctx, choice)
+	return nil
+}
+
+// start sends the call to a chosen upstream in the background.
+func (r *run) start(ctx context.Context, choice *htselect.Choice) {
 	r.relay.events.Counted(choice.Upstream.Ref())
 	r.tried = append(r.tried, choice.Upstream.ID)
 	r.open++
 	r.sends++
 	r.last = choice
-	r.sent = now
+	r.sent = r.relay.now()
 	go func() {
 		reply := r.relay.sender.Send(ctx, choice.Upstream, r.call.Deadline, r.call)
 		r.relay.settle(r, choice, reply)
 		r.results <- result{choice, reply}
 	}()
-	return nil
 }
 
 // take handles the result of one send. It returns the answer if the call is over.
@@ -285,6 +331,7 @@
 func (r *run) trace(a *Answer) *Answer {
 	a.Trace.Sends = r.sends
 	a.Trace.Hedges = r.hedges
+	a.Trace.Waited = r.waited
 	if c := r.last; c != nil {
 		a.Trace.Upstream = c.Upstream.ID
 		a.Trace.Speed = c.Speed
--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -51,6 +51,7 @@
 		}
 	}
 	r.selector.Faulty(now, fault)
+	r.pump(of.service)
 	r.mu.Unlock()
 	r.events.Counted(c.Upstream.Ref())
 	if fault.Weight > 0 {
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// kneeShare is the share of busy slots from which an upstream works slower, and
-	// kneeFactor how much.
-	kneeShare  = 0.8
-	kneeFactor = 1.5
+	// crowdShare is the share of busy slots above which an upstream may work slower.
+	crowdShare = 0.8
+	// goodFactor is how many times the usual work time a good choice may take.
+	goodFactor = 1.35
 	// coldFactor is how much slower a cold upstream works.
 	coldFactor = 2.0
 	// queuePlaces is how many calls beyond its slots an upstream is sent. Some
@@ -51,15 +51,28 @@
 	Load     float64
 	Age      time.Duration // of the report; negative if there is none
 	Cold     bool
+	Crowded  bool // more busy than where work slows down
 
 	state *upstream
 	route *route
 }
 
+// Good reports whether waiting for another upstream would gain nothing, as far as known.
+func (c *Choice) Good() bool {
+	known := c.Age >= 0 && c.Age < reportAge
+	return !c.Crowded && (!known || float64(c.Expected) <= goodFactor*float64(c.Work))
+}
+
+// Patience returns how long it is worth to wait for a good choice instead.
+func (c *Choice) Patience(target time.Duration) time.Duration {
+	return min((c.Expected-c.Work)/2, target/3)
+}
+
 // Refused says why no upstream was chosen and when a caller may come back.
 type Refused struct {
 	Reason     htcall.Reason
 	RetryAfter time.Duration
+	MayPass    bool // calls that end soon may make room
 }
 
 // Choose returns the upstream of the service with the lowest expected completion time
@@ -98,9 +111,9 @@
 	wait = max(wait, shortestWait)
 	switch {
 	case best == nil && full:
-		return nil, &Refused{Reason: htcall.ReasonQueueFull, RetryAfter: wait}
+		return nil, &Refused{Reason: htcall.ReasonQueueFull, RetryAfter: wait, MayPass: true}
 	case best == nil && cold:
-		return nil, &Refused{Reason: htcall.ReasonColdLimit, RetryAfter: wait}
+		return nil, &Refused{Reason: htcall.ReasonColdLimit, RetryAfter: wait, MayPass: true}
 	case best == nil:
 		return nil, &Refused{Reason: htcall.ReasonNoUpstream, RetryAfter: longestWait}
 	}
@@ -123,6 +136,7 @@
 		Load:     u.load(now),
 		Age:      age,
 		Cold:     u.cold(now),
+		Crowded:  u.crowded(now),
 		state:    u,
 		route:    state,
 	}
@@ -156,11 +170,17 @@
 	return excess / slots * mean * u.speed(now)
 }
 
+// crowded reports whether one more call makes the upstream so busy that it may work
+// slower.
+func (u *upstream) crowded(now time.Time) bool {
+	return u.load(now)+1 > max(1, crowdShare*float64(u.slots()))
+}
+
 // completion returns the expected time until the answer, in nanoseconds.
 func (u *upstream) completion(now time.Time, mean float64) float64 {
 	work := mean * u.speed(now)
-	if u.load(now)+1 > kneeShare*float64(u.slots()) {
-		work *= kneeFactor
+	if u.crowded(now) {
+		work *= u.service.crowding
 	}
 	if u.cold(now) {
 		work *= coldFactor
--- a/core/htselect/selector.go
+++ b/core/htselect/selector.go
@@ -31,6 +31,7 @@
 	declared  htcatalog.Service
 	upstreams []*upstream
 	budget    *retryBudget
+	crowding  float64 // how much slower crowded upstreams work
 }
 
 // route is the state of one route on this host.
@@ -78,6 +79,7 @@
 		kept[d.ID] = u
 		s.byRef[u.ref] = u
 		sv := s.service(now, *declared)
+		u.service = sv
 		sv.upstreams = append(sv.upstreams, u)
 	}
 	s.upstreams = kept
@@ -86,7 +88,7 @@
 func (s *Selector) service(now time.Time, d htcatalog.Service) *service {
 	sv := s.services[d.Name]
 	if sv == nil {
-		sv = &service{budget: newRetryBudget(s.retry, now)}
+		sv = &service{budget: newRetryBudget(s.retry, now), crowding: initialCrowding}
 		s.services[d.Name] = sv
 	}
 	sv.declared = d
--- a/core/htselect/send.go
+++ b/core/htselect/send.go
@@ -75,7 +75,11 @@
 // returns the fault that this shows, of weight 0 if there is none.
 func (s *Selector) Answered(c *Choice, took time.Duration, bytes int) Fault {
 	expected := float64(max(c.Expected, c.Work))
-	c.route.work.add(took, max(c.Speed, float64(c.Expected)/max(1, float64(c.Work))), bytes)
+	if c.Crowded {
+		c.state.service.crowd(float64(took) / max(1, float64(c.Work)*c.Speed))
+	} else {
+		c.route.work.add(took, max(c.Speed, float64(c.Expected)/max(1, float64(c.Work))), bytes)
+	}
 	if float64(took) > slowFactor*expected {
 		return Fault{Upstream: c.state.ref, Weight: FaultSlow}
 	}
--- a/core/htselect/upstream.go
+++ b/core/htselect/upstream.go
@@ -39,6 +39,7 @@
 // upstream is what this host knows of one upstream.
 type upstream struct {
 	declared  htcatalog.Upstream
+	service   *service
 	ref       htcatalog.Ref
 	report    Observation
 	seen      time.Time // when the report was valid last
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -226,6 +226,7 @@
 				s.Told(now, peer, c.Upstream, int(c.Calls))
 			}
 		})
+		e.relay.Pump()
 	}
 	if len(m.Faults) > 0 {
 		e.relay.Do(func(s *htselect.Selector) {
