--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -258,7 +258,12 @@
 	if r.open != 1 {
 		return
 	}
-	if r.again(ctx, true) {
+	now := r.relay.now()
+	r.relay.mu.Lock()
+	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
+	r.relay.mu.Unlock()
+	// A second send must not take the place of a call that was not sent at all.
+	if refused == nil && other.Good() && r.again(ctx, true) {
 		r.hedges++
 	}
 }
