--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -98,9 +98,7 @@
 	stop := context.AfterFunc(ctx, cancel)
 	return base, func() {
 		stop()
-		if r.open == 0 || ctx.Err() != nil {
-			cancel()
-		}
+		cancel()
 	}
 }
 
