--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -111,7 +111,8 @@
 	}
 	now := r.now()
 	for len(q.waiters) > 0 {
-		w := q.waiters[0]
+		at := r.next(now, q)
+		w := q.waiters[at]
 		call := w.run.call
 		choice, refused := r.selector.Choose(now, call.Route, service, call.Deadline.Sub(now), w.run.tried)
 		if refused != nil {
@@ -123,12 +124,25 @@
 		if !choice.Good() && now.Before(w.until) {
 			return
 		}
-		q.waiters = slices.Delete(q.waiters, 0, 1)
+		q.waiters = slices.Delete(q.waiters, at, at+1)
 		r.take(now, w.run, choice)
 		w.granted <- choice
 	}
 }
 
+// next returns the waiter to serve: the first one that can still be answered on time, or
+// the first one of all. In overload, waiting in the order of arrival would make all calls
+// late. The caller holds r.mu.
+func (r *Relay) next(now time.Time, q *queue) int {
+	for i, w := range q.waiters {
+		call := w.run.call
+		if now.Sub(call.Arrived)+r.selector.Work(call.Route) < call.Route.Target {
+			return i
+		}
+	}
+	return 0
+}
+
 // pumpAll grants upstreams to the waiting calls of all services. The caller holds r.mu.
 func (r *Relay) pumpAll() {
 	for service, q := range r.queues {
--- a/core/htselect/crowd.go
+++ b/core/htselect/crowd.go
@@ -43,6 +43,11 @@
 	return time.Duration(float64(ahead*s.group.Size(now)+1) / rate)
 }
 
+// Work returns the usual work time of a route.
+func (s *Selector) Work(r *htcatalog.Route) time.Duration {
+	return time.Duration(s.route(r).work.mean)
+}
+
 // shortestShare is the share of the usual work time in which a call may still end.
 const shortestShare = 0.5
 
