--- a/core/htgroup/duty.go
+++ b/core/htgroup/duty.go
@@ -18,6 +18,9 @@
 	maxStagger = 350 * time.Millisecond
 )
 
+// hubKey is the key by which hubs are ranked.
+var hubKey = xxhash.Sum64String("hub")
+
 // weight is the rendezvous weight of a host for a key.
 func weight(host, key uint64) uint64 {
 	var b [16]byte
--- a/core/htgroup/group.go
+++ b/core/htgroup/group.go
@@ -10,8 +10,12 @@
 
 const (
 	// SilenceLimit is how long a host may be silent before its duties move. It is
-	// three beats, so that a lost datagram moves nothing.
-	SilenceLimit = 750 * time.Millisecond
+	// four beats, so that lost datagrams or the loss of a hub move nothing.
+	SilenceLimit = 1100 * time.Millisecond
+	// HubLimit is how long a hub may be silent before another host takes its place. It
+	// is shorter than SilenceLimit: while a hub is lost, the hosts of its failure domain
+	// hear nothing of the others and must not take them for lost too.
+	HubLimit = 600 * time.Millisecond
 	// StoreLimit is the age of a reader's last answer from the store above which
 	// other hosts take up reading: the length of a long poll, which answers even if
 	// nothing changes, the time until the next beat tells of it, and a margin.
@@ -148,27 +152,34 @@
 	return near
 }
 
-// Far returns one running member in each other failure domain, which passes messages
-// on there. Each host has its own, so that the loss of one member delays few messages.
-// Members whose failure domain is not known are returned too.
-func (g *Group) Far(now time.Time) []Member {
-	own := g.peers[g.self.Address].hash
-	best := map[string]*peer{}
-	var far []Member
+// Hubs returns the host of each failure domain that passes on the messages of its
+// domain: own is that of this host's domain, which may be this host itself, and far are
+// those of the others. Hosts that disagree on a hub do no harm, since each host that is
+// asked to pass messages on does so.
+func (g *Group) Hubs(now time.Time) (own Member, far []Member) {
+	best := map[string]*peer{g.self.Domain: g.peers[g.self.Address]}
 	for _, p := range g.peers {
-		switch {
-		case p.Address == g.self.Address || p.Domain == g.self.Domain || !p.alive(now):
-		case p.Domain == "":
-			far = append(far, p.Member)
-		case best[p.Domain] == nil || weight(p.hash, own) > weight(best[p.Domain].hash, own):
+		if p.Address == g.self.Address || p.leaving || !p.prompt(now) {
+			continue
+		}
+		if b := best[p.Domain]; b == nil || weight(p.hash, hubKey) > weight(b.hash, hubKey) {
 			best[p.Domain] = p
 		}
 	}
-	for _, p := range best {
-		far = append(far, p.Member)
+	for domain, p := range best {
+		if domain == g.self.Domain {
+			own = p.Member
+		} else {
+			far = append(far, p.Member)
+		}
 	}
 	slices.SortFunc(far, compareMembers)
-	return far
+	return own, far
+}
+
+// prompt reports whether the peer was heard within the limit for hubs.
+func (p *peer) prompt(now time.Time) bool {
+	return !p.heard.IsZero() && now.Sub(p.heard) < HubLimit
 }
 
 func compareMembers(a, b Member) int { return a.Address.Compare(b.Address) }
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -77,6 +77,7 @@
 	group       *htgroup.Group
 	mirror      *htmirror.Mirror
 	decoded     map[string]decoded
+	heardLast   map[htselect.Peer]lastMessage
 	config      *htcatalog.Config
 	graceEnd    time.Time // when the next lapsed upstream is dropped
 	behindSince time.Time // when a message that was passed on named newer rows
@@ -85,6 +86,10 @@
 	stopping atomic.Bool
 	changes  chan change
 	behind   chan netip.AddrPort
+	bundles  chan htgossip.Message
+
+	incarnation uint32
+	sequence    atomic.Uint32
 
 	gossip   *htgossip.Conn
 	sync     *htgossip.Client
@@ -126,8 +131,12 @@
 		decoded:  map[string]decoded{},
 		changes:  make(chan change, maxChanges),
 		behind:   make(chan netip.AddrPort, 1),
-		sync:     htgossip.NewClient(),
-		metrics:  newMetrics(),
+		bundles:  make(chan htgossip.Message, maxMessages),
+
+		incarnation: rand.Uint32(),
+		heardLast:   map[htselect.Peer]lastMessage{},
+		sync:        htgossip.NewClient(),
+		metrics:     newMetrics(),
 	}
 	for _, seed := range settings.Seeds {
 		e.group.Add(htgroup.Member{Address: seed})
@@ -213,6 +222,7 @@
 		"gossip":           func(c context.Context) error { return e.gossip.Serve(c, e.receive) },
 		"beat":             e.beat,
 		"announce":         e.announce,
+		"hub":              e.relayMessages,
 		"probe":            e.probe,
 		"follow-declared":  func(c context.Context) error { return e.follow(c, htmirror.Declared) },
 		"follow-announced": func(c context.Context) error { return e.follow(c, htmirror.Announced) },
--- /dev/null
+++ b/io/htentry/hub.go
@@ -0,0 +1,193 @@
+package htentry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htgroup"
+	"hawthornturn/core/htselect"
+	"hawthornturn/io/htgossip"
+)
+
+const (
+	// announceDelay gathers changes that come at the same moment into one message.
+	announceDelay = 3 * time.Millisecond
+	// hubDelay gathers the messages of a failure domain into one datagram. What is known
+	// of the load of an upstream gets older by it.
+	hubDelay = 8 * time.Millisecond
+	// maxChanges and maxMessages bound what waits to be sent.
+	maxChanges  = 256
+	maxMessages = 1024
+	// bundleSize is the number of messages after which a datagram is full.
+	bundleSize = 24
+)
+
+// change is something that other hosts are told at once: an observation, a fault or a
+// new number of calls at an upstream.
+type change struct {
+	observation *htselect.Observation
+	fault       *htselect.Fault
+	counted     htcatalog.Ref
+}
+
+// Observed implements htrelay.Events. Only the host that watches the upstream tells the
+// others of its load; what no host can miss is told by all.
+func (e *Entry) Observed(o htselect.Observation) {
+	if !o.Down && !e.watches(o.Upstream) {
+		return
+	}
+	e.tell(change{observation: &o})
+}
+
+// Faulty implements htrelay.Events.
+func (e *Entry) Faulty(f htselect.Fault) { e.tell(change{fault: &f}) }
+
+// Counted implements htrelay.Events.
+func (e *Entry) Counted(ref htcatalog.Ref) { e.tell(change{counted: ref}) }
+
+func (e *Entry) tell(c change) {
+	select {
+	case e.changes <- c:
+	default:
+		e.metrics.changesDropped.Add(1)
+	}
+}
+
+// announce sends changes to the other hosts.
+func (e *Entry) announce(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case first := <-e.changes:
+			if err := sleep(ctx, announceDelay); err != nil {
+				return err
+			}
+			e.spread(e.gather(first))
+		}
+	}
+}
+
+// gather makes one message of the changes that wait.
+func (e *Entry) gather(first change) htgossip.Message {
+	m := e.newMessage()
+	counted := map[htcatalog.Ref]bool{}
+	add := func(c change) {
+		switch {
+		case c.observation != nil:
+			m.Reports = append(m.Reports, htgossip.NewReport(*c.observation, announceDelay))
+		case c.fault != nil:
+			m.Faults = append(m.Faults, htgossip.Fault{Upstream: c.fault.Upstream, Percent: uint8(100 * c.fault.Weight)})
+		default:
+			counted[c.counted] = true
+		}
+	}
+	add(first)
+	for len(e.changes) > 0 && len(m.Reports)+len(m.Faults)+len(counted) < maxChanges/8 {
+		add(<-e.changes)
+	}
+	e.relay.Do(func(s *htselect.Selector) {
+		for ref := range counted {
+			m.Counts = append(m.Counts, htgossip.NewCount(ref, s.InFlight(ref)))
+		}
+	})
+	return m
+}
+
+// isHub reports whether this host passes on the messages of its failure domain. The
+// caller holds e.mu.
+func (e *Entry) isHub(now time.Time) bool {
+	own, _ := e.group.Hubs(now)
+	return own.Address == e.settings.Self.Address
+}
+
+// spread sends a message of this host to all others by way of the hub.
+func (e *Entry) spread(m htgossip.Message) {
+	now := e.timers.Now()
+	e.mu.Lock()
+	hub, _ := e.group.Hubs(now)
+	e.mu.Unlock()
+	if hub.Address == e.settings.Self.Address {
+		e.bundle(m)
+		return
+	}
+	e.transmit(htgossip.ScopeAll, []htgossip.Message{m}, []htgroup.Member{hub})
+}
+
+// passOn sends the messages of a datagram on, if its scope says so. Messages of another
+// hub were gathered there, so they go on at once.
+func (e *Entry) passOn(d *htgossip.Datagram) {
+	switch d.Scope {
+	case htgossip.ScopeAll:
+		for _, m := range d.Messages {
+			e.bundle(m)
+		}
+	case htgossip.ScopeDomain:
+		e.mu.Lock()
+		near := e.group.Near(e.timers.Now())
+		e.mu.Unlock()
+		e.transmit(htgossip.ScopeNone, d.Messages, near)
+	}
+}
+
+// bundle puts a message into the next datagram of the hub.
+func (e *Entry) bundle(m htgossip.Message) {
+	select {
+	case e.bundles <- m:
+	default:
+		e.metrics.changesDropped.Add(1)
+	}
+}
+
+// relayMessages sends what the hub has gathered.
+func (e *Entry) relayMessages(ctx context.Context) error {
+	for {
+		var messages []htgossip.Message
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-e.bundles:
+			messages = append(messages, m)
+		}
+		if err := sleep(ctx, hubDelay); err != nil {
+			return err
+		}
+		for len(e.bundles) > 0 && len(messages) < bundleSize {
+			messages = append(messages, <-e.bundles)
+		}
+		e.mu.Lock()
+		now := e.timers.Now()
+		near := e.group.Near(now)
+		_, far := e.group.Hubs(now)
+		e.mu.Unlock()
+		e.transmit(htgossip.ScopeNone, messages, near)
+		e.transmit(htgossip.ScopeDomain, messages, far)
+	}
+}
+
+func (e *Entry) transmit(scope htgossip.Scope, messages []htgossip.Message, to []htgroup.Member) {
+	if len(to) == 0 {
+		return
+	}
+	d := &htgossip.Datagram{Scope: scope, Messages: messages}
+	data, err := d.Encode()
+	if err != nil {
+		logrus.WithFields(logrus.Fields{"event": "message-not-encoded"}).WithError(err).Error("message to other hosts lost")
+		return
+	}
+	if half := len(messages) / 2; len(data) > htgossip.MaxDatagram && half > 0 {
+		e.transmit(scope, messages[:half], to)
+		e.transmit(scope, messages[half:], to)
+		return
+	}
+	addresses := make([]netip.AddrPort, len(to))
+	for i, p := range to {
+		addresses[i] = p.Address
+	}
+	e.metrics.datagrams.Add(int64(len(to)))
+	e.gossip.Send(data, addresses...)
+}
--- a/io/htgossip/conn.go
+++ b/io/htgossip/conn.go
@@ -34,7 +34,7 @@
 }
 
 // Serve passes each datagram to handle until ctx ends.
-func (c *Conn) Serve(ctx context.Context, handle func(from netip.AddrPort, m *Message)) error {
+func (c *Conn) Serve(ctx context.Context, handle func(from netip.AddrPort, d *Datagram)) error {
 	stop := context.AfterFunc(ctx, func() { _ = c.socket.Close() })
 	defer stop()
 	buffer := make([]byte, 64<<10)
@@ -46,11 +46,11 @@
 			}
 			return fmt.Errorf("receive datagram: %w", err)
 		}
-		m, err := Decode(buffer[:n])
+		d, err := Decode(buffer[:n])
 		if err != nil {
 			logrus.WithFields(logrus.Fields{"event": "datagram-ignored", "from": from, "bytes": n}).WithError(err).Warn("datagram ignored")
 			continue
 		}
-		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), m)
+		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), d)
 	}
 }
