--- a/io/htentry/probe.go
+++ b/io/htentry/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,15 +17,13 @@
 	// downPeriod is the time between probes of an upstream that is down. Each one costs
 	// a connection.
 	downPeriod = 300 * time.Millisecond
-	// watchPeriod is the time between looks at which upstreams are due.
-	watchPeriod = 20 * time.Millisecond
 	// watchListPeriod is the time between looks at who watches what.
 	watchListPeriod = 200 * time.Millisecond
 )
 
 // probe asks the watched upstreams for their state.
 func (e *Entry) probe(ctx context.Context) error {
-	tick := e.timers.Subscribe("probe", watchPeriod)
+	tick := e.timers.Subscribe("probe", e.settings.ProbePeriod)
 	defer tick.Stop()
 	due := map[htcatalog.Ref]time.Time{}
 	busy := make(chan htcatalog.Ref, 1024)
@@ -51,7 +48,7 @@
 			if running[ref] || now.Before(due[ref]) {
 				continue
 			}
-			due[ref] = now.Add(e.probeInterval(ref))
+			due[ref] = now.Add(e.probePause(ref))
 			running[ref] = true
 			go func() {
 				e.probeOne(ctx, u)
@@ -61,16 +58,17 @@
 	}
 }
 
-// probeInterval returns the time until the next probe, spread a little so that hosts
-// do not probe at the same moment.
-func (e *Entry) probeInterval(ref htcatalog.Ref) time.Duration {
-	period := e.settings.ProbePeriod
+// probePause returns how long an upstream is left alone after a probe; without a pause it
+// is probed at the next tick. Upstreams are probed at the same tick, because each wake-up
+// of the process costs as much as a probe.
+func (e *Entry) probePause(ref htcatalog.Ref) time.Duration {
+	pause := time.Duration(0)
 	e.relay.Do(func(s *htselect.Selector) {
 		if report, _ := s.Report(ref); report.Down {
-			period = downPeriod
+			pause = downPeriod
 		}
 	})
-	return period - period/8 + rand.N(period/4)
+	return pause
 }
 
 func (e *Entry) probeOne(ctx context.Context, u htcatalog.Upstream) {
