--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -86,7 +86,7 @@
 			wait = refused.RetryAfter
 		}
 		if wait > left || len(q.waiters) >= maxWaiting {
-			return nil, nil, &htselect.Refused{Reason: htcall.ReasonQueueFull, RetryAfter: wait}
+			return nil, nil, &htselect.Refused{Reason: htcall.ReasonQueueFull, RetryAfter: htselect.Bounded(wait)}
 		}
 	}
 	w := &waiter{run: of, since: now, granted: make(chan *htselect.Choice, 1)}
@@ -189,5 +189,5 @@
 func (r *Relay) waitFor(of *run) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.selector.Wait(r.now(), of.call.Route, of.service, len(r.queues[of.service].waiters))
+	return htselect.Bounded(r.selector.Wait(r.now(), of.call.Route, of.service, len(r.queues[of.service].waiters)))
 }
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -186,24 +186,24 @@
 			return answer
 		}
 		r.failed = answer
-		if r.again(ctx, true) || r.open > 0 {
+		if r.again(ctx, retryAfterFailure) || r.open > 0 {
 			return nil
 		}
 		return answer
 	case Refused:
-		if r.again(ctx, true) || r.open > 0 {
+		if r.again(ctx, retryAfterFailure) || r.open > 0 {
 			return nil
 		}
 		return r.over(htcall.ReasonRefused)
 	case NotSent:
-		if r.again(ctx, false) || r.open > 0 {
+		if r.again(ctx, retryUnsent) || r.open > 0 {
 			return nil
 		}
 		return r.over(htcall.ReasonConnect)
 	case Broken:
 		r.ran++
 		r.broken = true
-		if r.again(ctx, true) || r.open > 0 {
+		if r.again(ctx, retryAfterFailure) || r.open > 0 {
 			return nil
 		}
 		return r.over(htcall.ReasonBroken)
@@ -211,9 +211,17 @@
 	return undecided(htcall.ReasonInternal)
 }
 
-// again sends the call once more if that is allowed and may help. Counted sends need
-// a token of the retry budget.
-func (r *run) again(ctx context.Context, counted bool) bool {
+// cause says why a call is sent once more.
+type cause int
+
+const (
+	retryUnsent       cause = iota // no byte left this host, so the retry budget is not touched
+	retryAfterFailure              // an earlier send failed or was refused
+	retryHedge                     // an earlier send is under way
+)
+
+// again sends the call once more if that is allowed and may help.
+func (r *run) again(ctx context.Context, why cause) bool {
 	if !r.mayRepeat() || r.sends >= maxSends {
 		return false
 	}
@@ -222,15 +230,20 @@
 	if r.last != nil && float64(left) < minRetryShare*float64(r.last.Work) {
 		return false
 	}
-	if counted {
-		r.relay.mu.Lock()
-		allowed := r.relay.selector.Retry(now, r.service)
-		r.relay.mu.Unlock()
-		if !allowed {
-			return false
-		}
+	return r.maySpend(now, why) && r.send(ctx) == nil
+}
+
+// maySpend takes the token of one more send, if it needs one.
+func (r *run) maySpend(now time.Time, why cause) bool {
+	r.relay.mu.Lock()
+	defer r.relay.mu.Unlock()
+	switch why {
+	case retryAfterFailure:
+		return r.relay.selector.Retry(now, r.service)
+	case retryHedge:
+		return r.relay.selector.Hedge(now, r.service)
 	}
-	return r.send(ctx) == nil
+	return true
 }
 
 // mayRepeat reports whether one more upstream may run the call.
@@ -261,7 +274,7 @@
 	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
 	r.relay.mu.Unlock()
 	// A second send must not take the place of a call that was not sent at all.
-	if refused == nil && other.Good() && r.again(ctx, true) {
+	if refused == nil && other.Good() && r.again(ctx, retryHedge) {
 		r.hedges++
 	}
 }
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -75,6 +75,9 @@
 	MayPass    bool // calls that end soon may make room
 }
 
+// Bounded returns what a refused caller is told for an expected wait.
+func Bounded(wait time.Duration) time.Duration { return min(max(wait, shortestWait), longestWait) }
+
 // Choose returns the upstream of the service with the lowest expected completion time
 // for a call on the route with that much time left, or says why there is none. Tried
 // upstreams are left out.
--- a/core/htselect/selector_test.go
+++ b/core/htselect/selector_test.go
@@ -332,3 +332,16 @@
 		t.Errorf("chose %q after the upstream said that it is warm", got)
 	}
 }
+
+// Guards against failed calls that can't be sent again because hedges used up the budget.
+func TestHedgesLeaveTokensForFailures(t *testing.T) {
+	s := newSelector(1, fixedGroup{16, 0}, catalog(1, nil))
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		s.Part(now, lookup())
+		s.Hedge(now, "stock")
+	}
+	if !s.Retry(start.Add(2*time.Second), "stock") {
+		t.Error("no token is left for a failed call")
+	}
+}
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -277,3 +277,6 @@
 	fields["event"] = "supervision"
 	logrus.WithFields(fields).Warn(event.String())
 }
+
+// CallersAddr returns the address for callers.
+func (e *Entry) CallersAddr() string { return e.callers.Addr().String() }
