--- a/core/htpath/handover.go
+++ b/core/htpath/handover.go
@@ -14,9 +14,11 @@
 const (
 	// endTimeout bounds one report of an end to a shard's new owner.
 	endTimeout = time.Second
-	// endTries is the number of reports until one gets through. The first may come
-	// before the new owner has installed the shard.
-	endTries = 10
+	// endLimit is how long reports are tried until one gets through. The first may come
+	// before the new owner has installed the shard, which takes seconds on a busy
+	// machine. It is a lease's default duration: an owner that installs later has
+	// waited for the lease to lapse.
+	endLimit = 5 * time.Second
 	endPause = 50 * time.Millisecond
 )
 
@@ -92,7 +94,7 @@
 
 func (r *Reporter) try(own Ownership, shard htview.Shard, send func(context.Context, htview.Member) error) error {
 	var err error
-	for range endTries {
+	for begun := time.Now(); time.Since(begun) < endLimit; {
 		owner, ok := own.Owner(shard)
 		if !ok {
 			return nil
