--- a/core/htgroup/duty.go
+++ b/core/htgroup/duty.go
@@ -52,6 +52,33 @@
 	return w > own
 }
 
+// First returns a function that reports whether this host is first in rank for a key, as
+// Rank would at the same time. It serves for many keys.
+func (g *Group) First(now time.Time) func(key uint64, domain string) bool {
+	self := g.peers[g.self.Address]
+	running := g.running(now)
+	inDomain := map[string][]*peer{}
+	for _, p := range running {
+		inDomain[p.Domain] = append(inDomain[p.Domain], p)
+	}
+	return func(key uint64, domain string) bool {
+		rivals := inDomain[domain]
+		switch {
+		case len(rivals) == 0:
+			rivals = running
+		case self.Domain != domain:
+			return false
+		}
+		own := weight(self.hash, key)
+		for _, p := range rivals {
+			if p != self && weight(p.hash, key) > own {
+				return false
+			}
+		}
+		return true
+	}
+}
+
 // RankAll is like Rank, but counts hosts that are not running too. It stays the same
 // while hosts fail, so that a duty with a bound over all hosts is never held by more
 // of them than the bound allows.
--- a/core/htgroup/group_test.go
+++ b/core/htgroup/group_test.go
@@ -56,9 +56,13 @@
 		for key := range uint64(200) {
 			holders := 0
 			for i, g := range list {
-				if !tt.down[i] && g.Rank(now, key, "a") == 0 {
+				first := g.Rank(now, key, "a") == 0
+				if !tt.down[i] && first {
 					holders++
 				}
+				if g.First(now)(key, "a") != first {
+					t.Errorf("%s: First and Rank differ for key %d", tt.name, key)
+				}
 			}
 			if holders != 1 {
 				t.Errorf("%s: key %d has %d holders", tt.name, key, holders)
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -19,6 +19,8 @@
 	beatPeriod = 250 * time.Millisecond
 	// quietBeats is how many beats pass between tries to reach a silent host.
 	quietBeats = 4
+	// farBeats is how many beats pass between those that go to other failure domains.
+	farBeats = 2
 	// forgetAfter is how long a silent host is tried.
 	forgetAfter = 2 * time.Minute
 	// passDelay is how long rows may take by way of the hub.
@@ -36,6 +38,10 @@
 			return ctx.Err()
 		case <-tick.C:
 		}
+		if n%farBeats != 0 {
+			e.beatNear()
+			continue
+		}
 		e.sendBeat(n%quietBeats == 0)
 		e.expire()
 	}
@@ -81,9 +87,11 @@
 	}
 }
 
-// tellNear sends a beat to the hosts of this failure domain, which names the versions
-// that this host has just got.
-func (e *Entry) tellNear(near []htgroup.Member) {
+// beatNear sends a beat to the hosts of this failure domain.
+func (e *Entry) beatNear() {
+	e.mu.Lock()
+	near := e.group.Near(e.timers.Now())
+	e.mu.Unlock()
 	e.transmit(htgossip.ScopeNone, []htgossip.Message{e.newBeat()}, near)
 }
 
@@ -208,28 +216,3 @@
 	}
 	return now.Sub(e.behindSince) > passDelay
 }
-
-// watches reports whether this host probes the upstream.
-func (e *Entry) watches(ref htcatalog.Ref) bool {
-	for _, u := range e.watched(e.timers.Now()) {
-		if u.Ref() == ref {
-			return true
-		}
-	}
-	return false
-}
-
-// watched lists the upstreams that this host probes: those of its failure domain for
-// which it is first in rank, and others only if no host runs there.
-func (e *Entry) watched(now time.Time) []htcatalog.Upstream {
-	catalog := e.Catalog()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var list []htcatalog.Upstream
-	for _, u := range catalog.Upstreams {
-		if catalog.Service(u.Service) != nil && e.group.Rank(now, uint64(u.Ref()), u.Domain) == 0 {
-			list = append(list, u)
-		}
-	}
-	return list
-}
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -77,6 +77,7 @@
 	group       *htgroup.Group
 	mirror      *htmirror.Mirror
 	decoded     map[string]decoded
+	watch       *watchList
 	heardLast   map[htselect.Peer]lastMessage
 	config      *htcatalog.Config
 	graceEnd    time.Time // when the next lapsed upstream is dropped
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -17,6 +17,9 @@
 	// LongestPoll is the length of a long poll. A reader that is cut off without
 	// notice is found out after it; the bound on configuration is 2 s.
 	LongestPoll = 900 * time.Millisecond
+	// gatherPause is the time after a change before the next poll, so that changes that
+	// come one after the other cost one call together.
+	gatherPause = 50 * time.Millisecond
 	// dutyPeriod is the time between looks at who reads the store.
 	dutyPeriod = 100 * time.Millisecond
 	// retryPeriod is the time between tries of the first hosts in rank while the store
@@ -82,7 +85,9 @@
 	if err != nil {
 		return err
 	}
-	e.storeAnswered(func(now time.Time) bool { return e.mirror.Apply(now, delta) })
+	if e.storeAnswered(func(now time.Time) bool { return e.mirror.Apply(now, delta) }) {
+		return sleep(ctx, gatherPause)
+	}
 	return nil
 }
 
@@ -96,19 +101,18 @@
 	return nil
 }
 
-// storeAnswered applies an answer of the store and tells other hosts.
-func (e *Entry) storeAnswered(apply func(now time.Time) bool) {
+// storeAnswered applies an answer of the store and tells other hosts. It reports whether
+// anything changed.
+func (e *Entry) storeAnswered(apply func(now time.Time) bool) bool {
 	now := e.timers.Now()
 	e.mu.Lock()
 	regained := e.group.StoreAge(now) < 0
 	e.group.StoreAnswered(now)
 	e.mirror.Contact(now)
-	before := e.mirror.Versions()
 	changed := apply(now)
 	if changed {
 		e.rebuild(now)
 	}
-	news := changed || before != e.mirror.Versions() && !before.Behind(htmirror.Versions{1, 1})
 	e.mu.Unlock()
 	if changed {
 		e.applyCatalog(now)
@@ -116,9 +120,9 @@
 	if regained {
 		logrus.WithFields(logrus.Fields{"event": "store-regained"}).Info("the store serves this host")
 	}
-	if news || regained {
-		e.sendBeat(false)
-	}
+	// Also an answer without news is told: others take up reading if they hear of none.
+	e.sendBeat(false)
+	return changed
 }
 
 // storeFailed returns how long to wait before the next try.
@@ -174,11 +178,10 @@
 	if changed {
 		e.rebuild(now)
 	}
-	near := e.group.Near(now)
 	e.mu.Unlock()
 	if changed {
 		e.applyCatalog(now)
-		e.tellNear(near)
+		e.beatNear()
 	}
 }
 
--- a/io/htentry/probe.go
+++ b/io/htentry/probe.go
@@ -17,8 +17,6 @@
 	// downPeriod is the time between probes of an upstream that is down. Each one costs
 	// a connection.
 	downPeriod = 300 * time.Millisecond
-	// watchListPeriod is the time between looks at who watches what.
-	watchListPeriod = 200 * time.Millisecond
 )
 
 // probe asks the watched upstreams for their state.
@@ -28,8 +26,6 @@
 	due := map[htcatalog.Ref]time.Time{}
 	busy := make(chan htcatalog.Ref, 1024)
 	running := map[htcatalog.Ref]bool{}
-	var watched []htcatalog.Upstream
-	var listed time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -40,10 +36,7 @@
 		case <-tick.C:
 		}
 		now := e.timers.Now()
-		if now.Sub(listed) >= watchListPeriod {
-			watched, listed = e.watched(now), now
-		}
-		for _, u := range watched {
+		for _, u := range e.watched(now) {
 			ref := u.Ref()
 			if running[ref] || now.Before(due[ref]) {
 				continue
