--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -101,12 +101,13 @@
 				continue
 			}
 		}
-		if u.load(now) >= float64(u.slots()+queuePlaces) || now.Before(u.avoid) {
+		load := u.load(now)
+		if load >= float64(u.slots()+queuePlaces) || now.Before(u.avoid) {
 			full = true
 			wait = min(wait, time.Duration(state.work.mean*u.speed(now)))
 			continue
 		}
-		score := s.score(now, u, r, state) * (1 + jitter*s.rng.Float64())
+		score := s.score(now, u, load, r, state) * (1 + jitter*s.rng.Float64())
 		if score < bestScore {
 			best, bestScore = u, score
 		}
@@ -120,8 +121,8 @@
 	case best == nil:
 		return nil, &Refused{Reason: htcall.ReasonNoUpstream, RetryAfter: longestWait}
 	}
-	if best.wait(now, state.work.mean) > float64(left) {
-		return nil, &Refused{Reason: htcall.ReasonDeadline, RetryAfter: max(shortestWait, time.Duration(best.wait(now, state.work.mean))/2)}
+	if queued := best.wait(now, best.load(now), state.work.mean); queued > float64(left) {
+		return nil, &Refused{Reason: htcall.ReasonDeadline, RetryAfter: Bounded(time.Duration(queued))}
 	}
 	return s.choice(now, best, state), nil
 }
@@ -131,15 +132,16 @@
 	if !u.seen.IsZero() {
 		age = now.Sub(u.seen)
 	}
+	load := u.load(now)
 	return &Choice{
 		Upstream: u.declared,
-		Expected: time.Duration(u.completion(now, state.work.mean)),
+		Expected: time.Duration(u.completion(now, load, state.work.mean)),
 		Work:     time.Duration(state.work.mean),
 		Speed:    u.speed(now),
-		Load:     u.load(now),
+		Load:     load,
 		Age:      age,
 		Cold:     u.cold(now),
-		Crowded:  u.crowded(now),
+		Crowded:  u.crowded(load),
 		state:    u,
 		route:    state,
 	}
@@ -164,9 +166,9 @@
 }
 
 // wait returns the expected time in the queue of u, in nanoseconds.
-func (u *upstream) wait(now time.Time, mean float64) float64 {
+func (u *upstream) wait(now time.Time, load, mean float64) float64 {
 	slots := float64(u.slots())
-	excess := u.load(now) + 1 - slots
+	excess := load + 1 - slots
 	if excess <= 0 {
 		return 0
 	}
@@ -175,27 +177,27 @@
 
 // crowded reports whether one more call makes the upstream so busy that it may work
 // slower.
-func (u *upstream) crowded(now time.Time) bool {
-	return u.load(now)+1 > max(1, crowdShare*float64(u.slots()))
+func (u *upstream) crowded(load float64) bool {
+	return load+1 > max(1, crowdShare*float64(u.slots()))
 }
 
 // completion returns the expected time until the answer, in nanoseconds.
-func (u *upstream) completion(now time.Time, mean float64) float64 {
+func (u *upstream) completion(now time.Time, load, mean float64) float64 {
 	work := mean * u.speed(now)
-	if u.crowded(now) {
+	if u.crowded(load) {
 		work *= u.service.crowding
 	}
 	if u.cold(now) {
 		work *= coldFactor
 	}
-	work *= 1 + busyShare*min(1, u.load(now)/float64(u.slots()))
-	return work + u.wait(now, mean)
+	work *= 1 + busyShare*min(1, load/float64(u.slots()))
+	return work + u.wait(now, load, mean)
 }
 
 // score is the completion time with what speaks against the upstream.
-func (s *Selector) score(now time.Time, u *upstream, r *htcatalog.Route, state *route) float64 {
+func (s *Selector) score(now time.Time, u *upstream, load float64, r *htcatalog.Route, state *route) float64 {
 	target := float64(r.Target)
-	score := u.completion(now, state.work.mean)
+	score := u.completion(now, load, state.work.mean)
 	if u.declared.Domain != s.domain {
 		score += target * (distanceShare + byteShare*state.work.bytes/1000)
 	}
--- a/core/htselect/upstream.go
+++ b/core/htselect/upstream.go
@@ -67,7 +67,11 @@
 	if u.seen.IsZero() {
 		return 0
 	}
-	return math.Exp(-float64(max(0, now.Sub(u.seen)-reportFresh)) / float64(reportAge))
+	age := now.Sub(u.seen) - reportFresh
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp(-float64(age) / float64(reportAge))
 }
 
 // speed returns how long work takes, as a factor of the usual.
@@ -97,6 +101,9 @@
 
 // fault returns the recent faults, in failed calls.
 func (u *upstream) fault(now time.Time) float64 {
+	if u.faults == 0 {
+		return 0
+	}
 	return u.faults * math.Exp(-float64(now.Sub(u.faultsAt))/float64(faultMemory))
 }
 
