--- a/core/htgroup/duty.go
+++ b/core/htgroup/duty.go
@@ -6,9 +6,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// readers is the number of hosts that read the store at a time. One may be cut off
-// from the store without anybody noticing for the length of a long poll.
-const readers = 2
+// readers is the number of hosts that read the store at a time. Each call is paid for. A
+// reader that is cut off without notice is replaced within StoreLimit, the turns and a
+// look at duties, which is below the bound of 2 s on changes.
+const readers = 1
 
 const (
 	// stagger is the time between the turns of two hosts in rank to take up reading. An
