--- a/core/htgroup/group.go
+++ b/core/htgroup/group.go
@@ -27,6 +27,9 @@
 	Name    string         `json:"name"`
 	Address netip.AddrPort `json:"address"`
 	Domain  string         `json:"domain"`
+	// Capacity compares hosts by what they can do beside their calls: the smaller one of
+	// the processor share in percent of a core and the link in Mbit/s.
+	Capacity int `json:"capacity"`
 }
 
 // peer is a member with what was last heard of it.
@@ -71,6 +74,10 @@
 	p := g.peers[m.Address]
 	silent := !p.alive(now)
 	p.heard = now
+	p.Capacity = m.Capacity
+	if m.Domain != "" {
+		p.Domain = m.Domain
+	}
 	p.leaving = leaving
 	if storeAge >= 0 {
 		p.storeSeen = now.Add(-storeAge)
@@ -162,7 +169,7 @@
 		if p.Address == g.self.Address || p.leaving || !p.prompt(now) {
 			continue
 		}
-		if b := best[p.Domain]; b == nil || weight(p.hash, hubKey) > weight(b.hash, hubKey) {
+		if b := best[p.Domain]; b == nil || p.betterHub(b) {
 			best[p.Domain] = p
 		}
 	}
@@ -177,6 +184,15 @@
 	return own, far
 }
 
+// betterHub reports whether p is to be the hub rather than o. A hub sends as many bytes as
+// all hosts of its failure domain receive, so that the most capable ones come first.
+func (p *peer) betterHub(o *peer) bool {
+	if p.Capacity != o.Capacity {
+		return p.Capacity > o.Capacity
+	}
+	return weight(p.hash, hubKey) > weight(o.hash, hubKey)
+}
+
 // prompt reports whether the peer was heard within the limit for hubs.
 func (p *peer) prompt(now time.Time) bool {
 	return !p.heard.IsZero() && now.Sub(p.heard) < HubLimit
--- a/core/htgroup/group_test.go
+++ b/core/htgroup/group_test.go
@@ -199,3 +199,21 @@
 		t.Errorf("hubs were %v and are %v", first, second)
 	}
 }
+
+// Guards against a hub with a slow link or little processor time, which delays the
+// messages and the calls of its whole failure domain.
+func TestHubIsTheMostCapableHost(t *testing.T) {
+	list := groups(6, "a")
+	for i, g := range list {
+		strong := list[3].self
+		strong.Capacity = 80
+		if i != 3 {
+			g.Heard(start, strong, -1, false)
+		} else {
+			g.peers[g.self.Address].Capacity = strong.Capacity
+		}
+		if hub, _ := g.Hubs(start); hub.Address != strong.Address {
+			t.Errorf("%s takes %s for the hub", g.self.Name, hub.Name)
+		}
+	}
+}
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -109,7 +109,7 @@
 		}
 		s.EachInFlight(func(ref htcatalog.Ref, calls int) { m.Counts = append(m.Counts, htgossip.NewCount(ref, calls)) })
 	})
-	status := &htgossip.Status{Domain: e.settings.Self.Domain, Store: -1, Leaving: e.stopping.Load()}
+	status := &htgossip.Status{Domain: e.settings.Self.Domain, Capacity: e.settings.Self.Capacity, Store: -1, Leaving: e.stopping.Load()}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	status.Versions = e.mirror.Versions()
@@ -132,7 +132,6 @@
 func (e *Entry) receive(from netip.AddrPort, d *htgossip.Datagram) {
 	now := e.timers.Now()
 	e.passOn(d)
-	asked := false
 	for i := range d.Messages {
 		m := &d.Messages[i]
 		origin := netip.AddrPortFrom(htgossip.AddressOf(m.Origin), e.settings.Self.Address.Port())
@@ -142,13 +141,18 @@
 		e.learn(now, m)
 		if m.Status != nil {
 			e.heard(now, origin, from, m.Status)
-			asked = asked || m.Status.Asks
+			if m.Status.Asks {
+				e.answer(origin)
+			}
 		}
 	}
 	e.relay.Pump()
-	if asked {
-		e.sendBeat(false)
-	}
+}
+
+// answer sends a beat to a host that has just started. The others hear of it by its own
+// beats.
+func (e *Entry) answer(to netip.AddrPort) {
+	e.transmit(htgossip.ScopeNone, []htgossip.Message{e.newBeat()}, []htgroup.Member{{Address: to}})
 }
 
 // newer reports whether a message is newer than the last one of its origin. Messages
@@ -188,7 +192,7 @@
 // heard takes in a sign of life.
 func (e *Entry) heard(now time.Time, origin, from netip.AddrPort, s *htgossip.Status) {
 	e.mu.Lock()
-	silent := e.group.Heard(now, htgroup.Member{Name: s.Name, Address: origin, Domain: s.Domain}, s.StoreAge(), s.Leaving)
+	silent := e.group.Heard(now, htgroup.Member{Name: s.Name, Address: origin, Domain: s.Domain, Capacity: s.Capacity}, s.StoreAge(), s.Leaving)
 	behind := e.mirror.Versions().Behind(s.Versions) && e.fetchNow(now, origin == from)
 	e.mu.Unlock()
 	if silent {
--- a/io/htgossip/message.go
+++ b/io/htgossip/message.go
@@ -53,6 +53,7 @@
 	Versions htmirror.Versions `cbor:"3,keyasint"`
 	Store    int64             `cbor:"4,keyasint"` // age of the last answer of the store in ms, or -1
 	Leaving  bool              `cbor:"5,keyasint,omitempty"`
+	Capacity int               `cbor:"7,keyasint,omitempty"`
 	Asks     bool              `cbor:"6,keyasint,omitempty"` // the host wants an answer, since it may have just started
 }
 
