--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -23,9 +23,10 @@
 	// dutyPeriod is the time between looks at who reads the store.
 	dutyPeriod = 100 * time.Millisecond
 	// retryPeriod is the time between tries of the first hosts in rank while the store
-	// does not answer; others try retrySlow as often, since each call is paid for.
-	retryPeriod = 300 * time.Millisecond
-	retrySlow   = 6
+	// does not answer. Others, and all while another host is served, wait retrySlow times
+	// as long, since each call is paid for.
+	retryPeriod = 500 * time.Millisecond
+	retrySlow   = 4
 	retryFirst  = 3
 	// directoryRetry is the time between tries to register.
 	directoryRetry = time.Second
@@ -131,13 +132,14 @@
 	e.mu.Lock()
 	lost := e.group.StoreAge(now) >= 0
 	e.group.StoreRefused()
+	served := now.Sub(e.group.StoreContact(now)) < htgroup.StoreLimit
 	e.mu.Unlock()
 	e.metrics.storeFailures.Add(1)
 	if lost {
 		logrus.WithFields(logrus.Fields{"event": "store-lost", "table": t}).WithError(err).Warn("the store does not serve this host")
 		e.sendBeat(false)
 	}
-	if rank >= retryFirst {
+	if rank >= retryFirst || served {
 		return retrySlow * retryPeriod
 	}
 	return retryPeriod
