--- a/core/htgroup/duty.go
+++ b/core/htgroup/duty.go
@@ -32,29 +32,9 @@
 	return xxhash.Sum64(b[:])
 }
 
-// Rank returns the position of this host among the running hosts for a key; 0 is the
-// first. If domain is not empty, hosts of that failure domain come first.
-func (g *Group) Rank(now time.Time, key uint64, domain string) int {
-	self := g.peers[g.self.Address]
-	own := weight(self.hash, key)
-	rank := 0
-	for _, p := range g.running(now) {
-		if p != self && g.before(p, self, weight(p.hash, key), own, domain) {
-			rank++
-		}
-	}
-	return rank
-}
-
-func (g *Group) before(p, self *peer, w, own uint64, domain string) bool {
-	if domain != "" && (p.Domain == domain) != (self.Domain == domain) {
-		return p.Domain == domain
-	}
-	return w > own
-}
-
-// First returns a function that reports whether this host is first in rank for a key, as
-// Rank would at the same time. It serves for many keys.
+// First returns a function that reports whether this host is the first in rank among the
+// running hosts for a key. If hosts of the failure domain run, only they are ranked. The
+// function serves for many keys.
 func (g *Group) First(now time.Time) func(key uint64, domain string) bool {
 	self := g.peers[g.self.Address]
 	running := g.running(now)
@@ -80,9 +60,9 @@
 	}
 }
 
-// RankAll is like Rank, but counts hosts that are not running too. It stays the same
-// while hosts fail, so that a duty with a bound over all hosts is never held by more
-// of them than the bound allows.
+// RankAll returns the position of this host for a key among all hosts, also those that are
+// not running; 0 is the first. It stays the same while hosts fail, so that a duty with a
+// bound over all hosts is never held by more of them than the bound allows.
 func (g *Group) RankAll(key uint64) int {
 	self := g.peers[g.self.Address]
 	own := weight(self.hash, key)
--- a/core/htgroup/group_test.go
+++ b/core/htgroup/group_test.go
@@ -56,13 +56,9 @@
 		for key := range uint64(200) {
 			holders := 0
 			for i, g := range list {
-				first := g.Rank(now, key, "a") == 0
-				if !tt.down[i] && first {
+				if !tt.down[i] && g.First(now)(key, "a") {
 					holders++
 				}
-				if g.First(now)(key, "a") != first {
-					t.Errorf("%s: First and Rank differ for key %d", tt.name, key)
-				}
 			}
 			if holders != 1 {
 				t.Errorf("%s: key %d has %d holders", tt.name, key, holders)
@@ -77,7 +73,7 @@
 	list := groups(6, "a", "b")
 	for key := range uint64(100) {
 		for _, g := range list {
-			if g.Rank(start, key, "b") == 0 && g.self.Domain != "b" {
+			if g.First(start)(key, "b") && g.self.Domain != "b" {
 				t.Errorf("key %d is held by %s in %s", key, g.self.Name, g.self.Domain)
 			}
 		}
--- a/core/htselect/selector.go
+++ b/core/htselect/selector.go
@@ -150,13 +150,6 @@
 	return differs
 }
 
-// Confirm says that the report of an upstream was still valid at a time.
-func (s *Selector) Confirm(at time.Time, ref htcatalog.Ref) {
-	if u := s.byRef[ref]; u != nil && at.After(u.seen) {
-		u.seen = at
-	}
-}
-
 // Faulty counts a failure that this or another host saw.
 func (s *Selector) Faulty(now time.Time, f Fault) {
 	if u := s.byRef[f.Upstream]; u != nil && f.Weight > 0 && f.Weight <= FaultError {
--- a/core/htselect/upstream.go
+++ b/core/htselect/upstream.go
@@ -43,7 +43,6 @@
 	ref       htcatalog.Ref
 	report    Observation
 	seen      time.Time // when the report was valid last
-	changed   time.Time // when the report was taken
 	inFlight  int       // calls of this host
 	others    map[Peer]count
 	foreign   int // reported calls that no host told of
@@ -122,7 +121,6 @@
 	}
 	u.report = o
 	u.seen = at
-	u.changed = at
 	u.foreign = max(0, o.Running+o.Waiting-u.known(at))
 	if o.Down {
 		return
--- a/core/htselect/work.go
+++ b/core/htselect/work.go
@@ -1,9 +1,6 @@
 package htselect
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// workShare is the weight of the newest work time in the average.
@@ -15,14 +12,12 @@
 // work tracks the work time and the answer size of a route at usual speed.
 type work struct {
 	mean  float64 // nanoseconds
-	dev   float64 // mean absolute deviation
 	bytes float64
 	count int
 }
 
 func newWork(target time.Duration) *work {
-	mean := float64(target) * initialWorkShare
-	return &work{mean: mean, dev: mean / 3}
+	return &work{mean: float64(target) * initialWorkShare}
 }
 
 // add takes in the work time of an answer, divided by the speed at its start.
@@ -32,7 +27,6 @@
 	share := max(workShare, 1/float64(w.count+2))
 	// An outlier says more about the upstream than about the route.
 	normal = min(normal, 4*w.mean)
-	w.dev += share * (math.Abs(normal-w.mean) - w.dev)
 	w.mean += share * (normal - w.mean)
 	w.bytes += share * (float64(bytes) - w.bytes)
 }
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -71,7 +71,6 @@
 	ports    Ports
 	timers   *httime.Service
 	relay    *htrelay.Relay
-	rng      *rand.Rand
 
 	mu          sync.Mutex // guards the fields below
 	group       *htgroup.Group
@@ -126,7 +125,6 @@
 		settings: settings,
 		ports:    ports,
 		timers:   timers,
-		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		group:    htgroup.New(settings.Self, now),
 		mirror:   htmirror.New(),
 		decoded:  map[string]decoded{},
