--- a/core/htpath/handover_test.go
+++ b/core/htpath/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 // install the shard.
 type slowOwner struct {
 	from time.Time
+	mu   sync.Mutex
 	got  []string
 }
 
@@ -31,6 +33,8 @@
 	if time.Now().Before(o.from) {
 		return errors.New("not served here")
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.got = append(o.got, id)
 	return nil
 }
@@ -51,6 +55,8 @@
 			reporter.keyEnd(oneOwner{}, KeyEnd{Service: "shop", Key: "k"})
 			reporter.slotEnd(oneOwner{}, htview.Shard{}, "c")
 			time.Sleep(time.Minute)
+			owner.mu.Lock()
+			defer owner.mu.Unlock()
 			if len(owner.got) != 2 {
 				t.Errorf("an owner that is ready after %v got %v", delay, owner.got)
 			}
--- a/core/htrelay/relay_test.go
+++ b/core/htrelay/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -62,6 +63,20 @@
 	return Broken{Err: ctx.Err()}
 }
 
+// sends returns the upstreams that were sent to, in order.
+func (s *sender) sends() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.sent)
+}
+
+// cancels returns the number of sends that were canceled.
+func (s *sender) cancels() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.canceled
+}
+
 // events counts what other hosts would be told.
 type events struct {
 	mu     sync.Mutex
@@ -169,8 +184,8 @@
 			if answer.Status != tt.status || answer.Outcome != tt.outcome {
 				t.Errorf("%s: status %d, outcome %s, want %d, %s", tt.name, answer.Status, answer.Outcome, tt.status, tt.outcome)
 			}
-			if len(w.sender.sent) != tt.sends {
-				t.Errorf("%s: sent to %v, want %d sends", tt.name, w.sender.sent, tt.sends)
+			if sent := w.sender.sends(); len(sent) != tt.sends {
+				t.Errorf("%s: sent to %v, want %d sends", tt.name, sent, tt.sends)
 			}
 			if answer.Status == http.StatusServiceUnavailable && answer.RetryAfter <= 0 {
 				t.Errorf("%s: the refusal does not say when to come back", tt.name)
@@ -214,15 +229,14 @@
 			}
 			go func() {
 				time.Sleep(20 * time.Millisecond)
-				w.sender.mu.Lock()
-				tt.news.Upstream = htcatalog.RefOf(w.sender.sent[0])
-				w.sender.mu.Unlock()
-				w.relay.Learn(time.Now(), tt.news)
+				news := tt.news
+				news.Upstream = htcatalog.RefOf(w.sender.sends()[0])
+				w.relay.Learn(time.Now(), news)
 			}()
 			begun := time.Now()
 			answer := w.serve(t.Context())
-			if answer.Status != http.StatusOK || len(w.sender.sent) != tt.sends {
-				t.Errorf("%s: status %d after %d sends, want %d", tt.name, answer.Status, len(w.sender.sent), tt.sends)
+			if sent := w.sender.sends(); answer.Status != http.StatusOK || len(sent) != tt.sends {
+				t.Errorf("%s: status %d after %d sends, want %d", tt.name, answer.Status, len(sent), tt.sends)
 			}
 			if tt.sends > 1 && time.Since(begun) > 80*time.Millisecond {
 				t.Errorf("%s: answered after %v", tt.name, time.Since(begun))
@@ -251,8 +265,8 @@
 				t.Errorf("%s: ended after %v", tt.name, time.Since(begun))
 			}
 			time.Sleep(time.Second)
-			if w.sender.canceled != tt.canceled {
-				t.Errorf("%s: %d sends canceled, want %d", tt.name, w.sender.canceled, tt.canceled)
+			if n := w.sender.cancels(); n != tt.canceled {
+				t.Errorf("%s: %d sends canceled, want %d", tt.name, n, tt.canceled)
 			}
 		})
 	}
@@ -264,12 +278,15 @@
 		w := newWorld(true, after(300, reset), after(50, ok))
 		begun := time.Now()
 		w.serve(t.Context())
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		w.sender.mu.Lock()
+		defer w.sender.mu.Unlock()
 		for i, d := range w.sender.deadlines {
 			if d.Sub(begun) != time.Second {
 				t.Errorf("send %d may take until %v", i, d.Sub(begun))
 			}
 		}
-		time.Sleep(2 * time.Second)
 	})
 }
 
@@ -287,16 +304,16 @@
 			for range crashThreshold {
 				w.serve(t.Context())
 				if tt.crash {
-					sent := w.sender.sent
+					sent := w.sender.sends()
 					w.relay.Learn(time.Now(), htselect.Observation{Upstream: htcatalog.RefOf(sent[len(sent)-1]), Down: true})
 				}
 			}
-			before := len(w.sender.sent)
+			before := len(w.sender.sends())
 			answer := w.serve(t.Context())
 			if blocked := answer.Reason == htcall.ReasonQuarantined; blocked != tt.blocked {
 				t.Errorf("%s: answer %d %s", tt.name, answer.Status, answer.Reason)
 			}
-			if tt.blocked && len(w.sender.sent) != before {
+			if tt.blocked && len(w.sender.sends()) != before {
 				t.Errorf("%s: the request was sent again", tt.name)
 			}
 			other := New(nil, "other", nil, nil, time.Now)
