--- /dev/null
+++ b/core/htrelay/queue_test.go
@@ -0,0 +1,117 @@
+package htrelay
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htselect"
+)
+
+// workers is a sender whose upstreams take a fixed time for each call. It tracks the most
+// calls at one upstream.
+type workers struct {
+	mu   sync.Mutex
+	at   map[string]int
+	most int
+}
+
+// Send implements Sender.
+func (s *workers) Send(ctx context.Context, to htcatalog.Upstream, _ time.Time, _ *Call) Reply {
+	s.mu.Lock()
+	s.at[to.ID]++
+	s.most = max(s.most, s.at[to.ID])
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.at[to.ID]--
+	}()
+	const work = 80 * time.Millisecond
+	select {
+	case <-time.After(work):
+		return Answered{Status: 200, Work: work}
+	case <-ctx.Done():
+		return Broken{Err: ctx.Err()}
+	}
+}
+
+// tally counts what callers got.
+type tally struct {
+	mu                     sync.Mutex
+	onTime, late, refused  int
+	slowest, slowestRefuse time.Duration
+}
+
+func (c *tally) add(a *Answer, took, target time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case a.Outcome == htcall.NotRun:
+		c.refused++
+		c.slowestRefuse = max(c.slowestRefuse, took)
+	case took <= target:
+		c.onTime++
+	default:
+		c.late++
+		c.slowest = max(c.slowest, took)
+	}
+}
+
+// play sends calls at an interval for two seconds to three upstreams of two slots, which
+// serve one call each at their usual speed: 37 calls a second.
+func play(t *testing.T, interval time.Duration) (*tally, *workers) {
+	t.Helper()
+	w := newWorld(false)
+	busy := &workers{at: map[string]int{}}
+	w.relay.sender = busy
+	for _, id := range []string{"u0", "u1", "u2"} {
+		w.relay.Learn(time.Now(), htselect.Observation{Upstream: htcatalog.RefOf(id), Speed: 100, Slots: 2})
+	}
+	got := &tally{}
+	var wait sync.WaitGroup
+	for range int(2 * time.Second / interval) {
+		wait.Go(func() {
+			begun := time.Now()
+			got.add(w.serve(t.Context()), time.Since(begun), w.route.Target)
+		})
+		time.Sleep(interval)
+	}
+	wait.Wait()
+	return got, busy
+}
+
+// Guards against calls that queue at one upstream while others are idle, and against an
+// overload in which waiting makes every call late.
+func TestLoad(t *testing.T) {
+	tests := []struct {
+		name     string
+		interval time.Duration
+		onTime   float64 // the least share of calls
+		most     int     // calls at one upstream
+	}{
+		{"half of the capacity", 54 * time.Millisecond, 1, 1},
+		{"nine tenths", 30 * time.Millisecond, 0.95, 2},
+		{"one and a half times", 18 * time.Millisecond, 0.5, 4},
+		{"three times", 9 * time.Millisecond, 0.2, 4},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			got, busy := play(t, tt.interval)
+			total := got.onTime + got.late + got.refused
+			if share := float64(got.onTime) / float64(total); share < tt.onTime {
+				t.Errorf("%s: %d of %d on time, %d late, %d refused", tt.name, got.onTime, total, got.late, got.refused)
+			}
+			if busy.most > tt.most {
+				t.Errorf("%s: %d calls at one upstream, want at most %d", tt.name, busy.most, tt.most)
+			}
+			if got.slowest > time.Second {
+				t.Errorf("%s: an answer took %v, past its deadline", tt.name, got.slowest)
+			}
+		})
+	}
+}
