htservice: one copy of what both kinds of host put under supervision

The service type, the HTTP server loop and the log line of supervision stood in hthost and in htentry. Tests of both and of the adapter pass.

--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -22,6 +21,7 @@
 	"hawthornturn/core/htselect"
 	"hawthornturn/core/httime"
 	"hawthornturn/io/htgossip"
+	"hawthornturn/io/htservice"
 )
 
 // Settings describe the host.
@@ -213,11 +213,11 @@
 func (e *Entry) Run(ctx context.Context) error {
 	supervised, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	supervisor := suture.New(e.settings.Self.Name, suture.Spec{EventHook: logSupervision})
+	supervisor := suture.New(e.settings.Self.Name, suture.Spec{EventHook: htservice.LogEvent})
 	for name, serve := range map[string]func(context.Context) error{
-		"callers":          func(c context.Context) error { return serveHTTP(c, e.front, e.callers) },
-		"balancer":         func(c context.Context) error { return serveHTTP(c, e.newBalancerSide(), e.balancer) },
-		"peers":            func(c context.Context) error { return serveHTTP(c, e.newPeerSide(), e.peers) },
+		"callers":          func(c context.Context) error { return htservice.HTTP(c, e.front, e.callers) },
+		"balancer":         func(c context.Context) error { return htservice.HTTP(c, e.newBalancerSide(), e.balancer) },
+		"peers":            func(c context.Context) error { return htservice.HTTP(c, e.newPeerSide(), e.peers) },
 		"gossip":           func(c context.Context) error { return e.gossip.Serve(c, e.receive) },
 		"beat":             e.beat,
 		"announce":         e.announce,
@@ -228,7 +228,7 @@
 		"catch-up":         e.catchUp,
 		"directory":        e.join,
 	} {
-		supervisor.Add(service{name, serve})
+		supervisor.Add(htservice.Service{Name: name, Run: serve})
 	}
 	ended := supervisor.ServeBackground(supervised)
 	logrus.WithFields(logrus.Fields{
@@ -248,34 +248,5 @@
 	return err
 }
 
-// service is a function under supervision.
-type service struct {
-	name  string
-	serve func(context.Context) error
-}
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
-
-// String names the service in logs.
-func (s service) String() string { return s.name }
-
-// serveHTTP serves a listener until ctx ends.
-func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return suture.ErrDoNotRestart
-	}
-	return err
-}
-
-func logSupervision(event suture.Event) {
-	fields := logrus.Fields(event.Map())
-	fields["event"] = "supervision"
-	logrus.WithFields(fields).Warn(event.String())
-}
-
 // CallersAddr returns the address for callers.
 func (e *Entry) CallersAddr() string { return e.callers.Addr().String() }
--- a/io/hthost/host.go
+++ b/io/hthost/host.go
@@ -26,6 +26,7 @@
 	"hawthornturn/io/htfront"
 	"hawthornturn/io/htpeer"
 	"hawthornturn/io/htplatform"
+	"hawthornturn/io/htservice"
 	"hawthornturn/io/htsettings"
 )
 
@@ -176,14 +177,14 @@
 func (h *Host) Run(ctx context.Context) error {
 	supervised, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	supervisor := suture.New(h.settings.Name, suture.Spec{EventHook: logSupervision})
+	supervisor := suture.New(h.settings.Name, suture.Spec{EventHook: htservice.LogEvent})
 	supervisor.Add(h.manager)
 	supervisor.Add(h.follower)
 	supervisor.Add(h.peerSide)
-	supervisor.Add(service{"callers", func(ctx context.Context) error { return serveHTTP(ctx, h.frontSide, h.callers) }})
-	supervisor.Add(service{"operators", func(ctx context.Context) error { return serveHTTP(ctx, h.apiSide, h.operators) }})
-	supervisor.Add(service{"dispatch-timer", h.tickShards})
-	supervisor.Add(service{"host-list", h.watchHostList})
+	supervisor.Add(htservice.Service{Name: "callers", Run: func(ctx context.Context) error { return htservice.HTTP(ctx, h.frontSide, h.callers) }})
+	supervisor.Add(htservice.Service{Name: "operators", Run: func(ctx context.Context) error { return htservice.HTTP(ctx, h.apiSide, h.operators) }})
+	supervisor.Add(htservice.Service{Name: "dispatch-timer", Run: h.tickShards})
+	supervisor.Add(htservice.Service{Name: "host-list", Run: h.watchHostList})
 	ended := supervisor.ServeBackground(supervised)
 	logrus.WithFields(logrus.Fields{
 		"event": "host-started", "host": h.settings.Name, "failure-domain": h.settings.FailureDomain,
@@ -223,33 +224,3 @@
 
 // OperatorsAddr returns the address of the operators' API.
 func (h *Host) OperatorsAddr() string { return h.operators.Addr().String() }
-
-// service is a function under supervision.
-type service struct {
-	name  string
-	serve func(context.Context) error
-}
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
-
-// String names the service in logs.
-func (s service) String() string { return s.name }
-
-// serveHTTP serves a listener until ctx ends. A server that was shut down is not
-// started again.
-func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return suture.ErrDoNotRestart
-	}
-	return err
-}
-
-func logSupervision(event suture.Event) {
-	fields := logrus.Fields(event.Map())
-	fields["event"] = "supervision"
-	logrus.WithFields(fields).Warn(event.String())
-}
