htstand, htlab, hthost: a stand-in that never answers after a crash, and two tests that depended on timing

Cause 1 (TestScripts/upstream-faults, KNOWN-RED): Upstream.Crash holds mu while it closes its server; the close waits for the accept loop, which waits for mu to register a connection that is just being accepted. The stand-in then answers nothing for ever, so that the next command got no answer in 10 s. Connections have a mutex of their own now. TestCrashWhileConnecting hung before.

Cause 2 (TestScripts/planned-stop, KNOWN-RED): the load sent the second copy of a booking to a host that is not ready, if the only ready host was the one that got the first copy. The platform's balancer never does that. TestHostsPick demanded it; it now demands the ready host, and TestPick checks that copies use two hosts whenever two are ready.

The test now counts what the upstream got: a call that it got must be told unknown, and one told not-run must not have reached it.

--- a/internal/htlab/hosts.go
+++ b/internal/htlab/hosts.go
@@ -31,17 +31,25 @@
 	}
 }
 
-// pick returns the next host, other than avoid if there is another. If no host is
+// pick returns the next ready host, other than avoid if there is another. If no host is
 // ready it hands out all of them.
 func (h *hosts) pick(avoid string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	avoidReady := false
 	for range h.addresses {
 		a := h.step()
-		if !h.out[a] && a != avoid {
+		switch {
+		case h.out[a]:
+		case a != avoid:
 			return a
+		default:
+			avoidReady = true
 		}
 	}
+	if avoidReady {
+		return avoid
+	}
 	a := h.step()
 	if a == avoid {
 		a = h.step()
--- a/internal/htlab/load_test.go
+++ b/internal/htlab/load_test.go
@@ -241,8 +241,8 @@
 	near("bookings sent twice", twice, 1250)
 }
 
-// Guards against calls to hosts that are not ready, and against the two copies of
-// a booking going through the same host.
+// Guards against calls to hosts that are not ready while another one is, also for the
+// second copy of a booking. TestPick guards against two copies through the same host.
 func TestHostsPick(t *testing.T) {
 	ready := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	notReady := httptest.NewServer(http.NotFoundHandler())
@@ -261,8 +261,8 @@
 			t.Errorf("picked %s, but only %s is ready", got, a)
 		}
 	}
-	if h.pick(a) == a {
-		t.Error("the second copy goes through the same host")
+	if got := h.pick(a); got != a {
+		t.Errorf("the second copy goes to %s, which is not ready", got)
 	}
 }
 
--- a/internal/htstand/upstream.go
+++ b/internal/htstand/upstream.go
@@ -19,10 +19,14 @@
 	mu      sync.Mutex
 	address string
 	server  *http.Server
-	conns   map[*faultConn]struct{}
 	crashed chan struct{} // closed when the present server crashes
 	closed  bool
 	restart *time.Timer
+
+	// connsMu is apart from mu: a server that is being closed under mu waits for its
+	// accept loop, which registers connections.
+	connsMu sync.Mutex
+	conns   map[*faultConn]struct{}
 }
 
 // NewUpstream returns an upstream without faults.
@@ -171,8 +175,8 @@
 // SilenceConnections makes all open connections silent for good: nothing that
 // arrives on them is acknowledged or answered. New connections work.
 func (u *Upstream) SilenceConnections() error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.connsMu.Lock()
+	defer u.connsMu.Unlock()
 	var err error
 	for c := range u.conns {
 		err = errors.Join(err, c.silence())
@@ -183,8 +187,8 @@
 // FreezeConnections makes all open connections stop answering for good, while the
 // kernel still acknowledges what arrives on them. New connections work.
 func (u *Upstream) FreezeConnections() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.connsMu.Lock()
+	defer u.connsMu.Unlock()
 	for c := range u.conns {
 		c.freeze()
 	}
@@ -216,19 +220,17 @@
 func (u *Upstream) wrap(c net.Conn) net.Conn {
 	f := &faultConn{Conn: c, cost: u.settings.ConnCost, closed: make(chan struct{})}
 	f.onClosed = func() { u.forget(f) }
-	u.mu.Lock()
+	u.connsMu.Lock()
 	u.conns[f] = struct{}{}
-	u.mu.Unlock()
+	u.connsMu.Unlock()
 	u.worker.countConn(1)
 	return f
 }
 
-// forget runs when a connection is closed, possibly inside stop, which holds mu.
+// forget runs when a connection is closed.
 func (u *Upstream) forget(f *faultConn) {
 	u.worker.countConn(-1)
-	go func() {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		delete(u.conns, f)
-	}()
+	u.connsMu.Lock()
+	defer u.connsMu.Unlock()
+	delete(u.conns, f)
 }
--- a/internal/htstand/upstream_test.go
+++ b/internal/htstand/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -153,8 +154,8 @@
 				t.Fatal(err)
 			}
 			frozen := func() bool {
-				u.mu.Lock()
-				defer u.mu.Unlock()
+				u.connsMu.Lock()
+				defer u.connsMu.Unlock()
 				for c := range u.conns {
 					if !c.frozen.Load() {
 						return false
@@ -254,3 +255,41 @@
 		t.Errorf("write to a frozen connection: %d, %v", n, err)
 	}
 }
+
+// Guards against a crash that waits for ever for a connection which is just being
+// accepted: the upstream then answers nothing more, not even commands.
+func TestCrashWhileConnecting(t *testing.T) {
+	u := startUpstream(t, UpstreamSettings{})
+	address := u.Address()
+	stop := make(chan struct{})
+	var dialers sync.WaitGroup
+	for range 4 {
+		dialers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c, err := net.Dial("tcp", address); err == nil {
+					_ = c.Close()
+				}
+			}
+		})
+	}
+	defer dialers.Wait()
+	defer close(stop)
+	for i := range 200 {
+		crashed := make(chan struct{})
+		go func() {
+			u.Crash(time.Millisecond)
+			close(crashed)
+		}()
+		select {
+		case <-crashed:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("crash %d has not ended after 5 s", i)
+		}
+		time.Sleep(3 * time.Millisecond)
+	}
+}
--- a/io/hthost/http_test.go
+++ b/io/hthost/http_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -234,12 +235,15 @@
 
 // TestCutAnswer guards against passing on a part of an answer as the whole, and
 // against cutting the caller's connection while it can still be told what happened:
-// HTTP clients send a request again by themselves when a connection is cut.
+// HTTP clients send a request again by themselves when a connection is cut. It also
+// guards against telling "not-run" of a call that the upstream got.
 func TestCutAnswer(t *testing.T) {
+	var got atomic.Int64 // calls that reached the upstream
 	hosts := testHosts(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/-/load" {
 			return
 		}
+		got.Add(1)
 		if r.URL.Path == "/short" {
 			w.Header().Set("Content-Length", "10")
 		}
@@ -251,15 +255,7 @@
 	}))
 	for _, host := range hosts {
 		for _, path := range []string{"/head", "/short"} {
-			response, _ := do(t, newRequest(t, host, http.MethodPost, path, nil))
-			for response.Header.Get(htcall.HeaderReason) == string(htcall.ReasonNoUpstream) {
-				// The upstream counts as crashed until a probe has worked.
-				time.Sleep(50 * time.Millisecond)
-				response, _ = do(t, newRequest(t, host, http.MethodPost, path, nil))
-			}
-			if got := response.Header.Get(htcall.HeaderOutcome); got != string(htcall.Unknown) {
-				t.Errorf("%s through %s: outcome %q", path, host.Name, got)
-			}
+			cutCall(t, host, path, &got)
 		}
 		response, err := http.DefaultClient.Do(newRequest(t, host, http.MethodPost, "/streamed", nil))
 		if err != nil {
@@ -272,3 +268,23 @@
 		}
 	}
 }
+
+// cutCall sends a call until the upstream has got it, and checks what its caller is told.
+// Calls are refused until a probe has found the upstream up again and until the slot of an
+// earlier broken call is free, which is at the deadline of that call.
+func cutCall(t *testing.T, host *htlab.ClusterHost, path string, got *atomic.Int64) {
+	t.Helper()
+	for {
+		before := got.Load()
+		response, _ := do(t, newRequest(t, host, http.MethodPost, path, nil))
+		outcome, reason := response.Header.Get(htcall.HeaderOutcome), response.Header.Get(htcall.HeaderReason)
+		switch reached := got.Load() - before; {
+		case reached == 0 && outcome == string(htcall.NotRun):
+			time.Sleep(50 * time.Millisecond)
+			continue
+		case reached != 1 || outcome != string(htcall.Unknown):
+			t.Errorf("%s through %s: outcome %q, reason %q, got by the upstream %d times", path, host.Name, outcome, reason, reached)
+		}
+		return
+	}
+}
