htrelay, htselect, htentry: hosts ask a few upstreams before each send

Cause: one prober an upstream told all hosts of speed and load, and each host told of each call it began and ended. And what a host knew was still up to 80 ms old.

Now a host asks three upstreams (two by what it knows, one it has not asked for longest) at their health path just before it sends, waits 25 ms at most, and chooses by answers a few ms old. It considers twelve upstreams of a service as long as one is good, those of its failure domain first, so that connections are kept. An upstream that runs an idempotent call is asked again every 65 ms. Other hosts are told only of upstreams that are gone and of faults. Ruled out: two questions by score and none that explores (new upstreams were never asked in TestApertureCoversAllUpstreams).

--- a/core/htgroup/duty.go
+++ b/core/htgroup/duty.go
@@ -32,34 +32,6 @@
 	return xxhash.Sum64(b[:])
 }
 
-// First returns a function that reports whether this host is the first in rank among the
-// running hosts for a key. If hosts of the failure domain run, only they are ranked. The
-// function serves for many keys.
-func (g *Group) First(now time.Time) func(key uint64, domain string) bool {
-	self := g.peers[g.self.Address]
-	running := g.running(now)
-	inDomain := map[string][]*peer{}
-	for _, p := range running {
-		inDomain[p.Domain] = append(inDomain[p.Domain], p)
-	}
-	return func(key uint64, domain string) bool {
-		rivals := inDomain[domain]
-		switch {
-		case len(rivals) == 0:
-			rivals = running
-		case self.Domain != domain:
-			return false
-		}
-		own := weight(self.hash, key)
-		for _, p := range rivals {
-			if p != self && weight(p.hash, key) > own {
-				return false
-			}
-		}
-		return true
-	}
-}
-
 // RankAll returns the position of this host for a key among all hosts, also those that are
 // not running; 0 is the first. It stays the same while hosts fail, so that a duty with a
 // bound over all hosts is never held by more of them than the bound allows.
--- a/core/htrelay/port.go
+++ b/core/htrelay/port.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -52,10 +53,22 @@
 func (NotSent) reply()  {}
 func (Broken) reply()   {}
 
-// Events tells other hosts what this one saw. The methods must not block.
+// ErrGone means that an upstream is no longer at its address: the address accepts no
+// connections, or another upstream answers there.
+var ErrGone = errors.New("upstream is gone from its address")
+
+// Prober asks upstreams for their state.
+type Prober interface {
+	// Probe returns what the upstream says of itself at its health path. The error wraps
+	// ErrGone if the upstream is gone for all hosts, not only out of reach of this one.
+	Probe(ctx context.Context, to htcatalog.Upstream, healthPath string) (htselect.Observation, error)
+}
+
+// Events is told what this host saw. The methods must not block.
 type Events interface {
-	Observed(o htselect.Observation)
+	// UpstreamDown is told of an upstream that stopped answering. Gone says that this
+	// holds for all hosts.
+	UpstreamDown(u htcatalog.Upstream, err error, gone bool)
+	// Faulty is told of a failure that other hosts should know.
 	Faulty(f htselect.Fault)
-	// Counted says that the number of this host's calls at an upstream has changed.
-	Counted(ref htcatalog.Ref)
 }
--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -27,6 +27,7 @@
 // queue holds the waiters of a service, the most urgent first, then by arrival.
 type queue struct {
 	waiters []*waiter
+	polled  time.Time // when upstreams were asked last on behalf of the waiters
 }
 
 func (q *queue) add(w *waiter) {
@@ -76,7 +77,8 @@
 	switch {
 	case refused != nil && !refused.MayPass:
 		return nil, nil, refused
-	case refused == nil && ahead == 0 && choice.Good():
+	case refused == nil && ahead == 0 && (choice.Good() || !choice.Fresh()):
+		// Without fresh reports, waiting tells nothing: no upstream has answered.
 		r.take(now, of, choice)
 		return choice, nil, nil
 	}
@@ -97,6 +99,15 @@
 	return nil, w, nil
 }
 
+// knowsGood reports whether a good upstream for the call is known.
+func (r *Relay) knowsGood(of *run) bool {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	choice, refused := r.selector.Choose(now, of.call.Route, of.service, of.call.Deadline.Sub(now), of.tried)
+	return refused == nil && choice.Good()
+}
+
 // take counts a call that is about to be sent. The caller holds r.mu.
 func (r *Relay) take(now time.Time, of *run, choice *htselect.Choice) {
 	r.selector.Sent(now, choice)
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -16,6 +16,7 @@
 	selector *htselect.Selector
 	crashes  *crashes
 	sender   Sender
+	prober   Prober
 	events   Events
 	now      func() time.Time
 	active   map[htcatalog.Ref]map[*run]bool // runs with a call at the upstream
@@ -23,11 +24,12 @@
 }
 
 // New returns a Relay. It takes over the selector: all later use must go through Do.
-func New(selector *htselect.Selector, reporter string, sender Sender, events Events, now func() time.Time) *Relay {
+func New(selector *htselect.Selector, reporter string, sender Sender, prober Prober, events Events, now func() time.Time) *Relay {
 	return &Relay{
 		selector: selector,
 		crashes:  newCrashes(reporter),
 		sender:   sender,
+		prober:   prober,
 		events:   events,
 		now:      now,
 		active:   map[htcatalog.Ref]map[*run]bool{},
@@ -42,17 +44,6 @@
 	f(r.selector)
 }
 
-// Observe takes in a report and tells other hosts if it changes choices.
-func (r *Relay) Observe(at time.Time, o htselect.Observation) {
-	r.mu.Lock()
-	differs := r.observe(at, o)
-	told, _ := r.selector.Report(o.Upstream)
-	r.mu.Unlock()
-	if differs {
-		r.events.Observed(told)
-	}
-}
-
 // Learn takes in a report of another host.
 func (r *Relay) Learn(at time.Time, o htselect.Observation) {
 	r.mu.Lock()
@@ -62,7 +53,7 @@
 
 // observe takes in a report and lets the calls at the upstream look again if it has
 // become slower or is down. The caller holds r.mu.
-func (r *Relay) observe(at time.Time, o htselect.Observation) bool {
+func (r *Relay) observe(at time.Time, o htselect.Observation) {
 	differs := r.selector.Observe(at, o)
 	if o.Down {
 		r.crashes.down(at, o.Upstream)
@@ -71,9 +62,8 @@
 		for call := range r.active[o.Upstream] {
 			call.alert()
 		}
-		r.pumpAll()
 	}
-	return differs
+	r.pumpAll()
 }
 
 // enter notes that a run has a call at an upstream, and leave that it has ended. The
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -66,6 +66,8 @@
 	defer deadline.Stop()
 	hedge := time.NewTimer(r.hedgeDelay())
 	defer hedge.Stop()
+	watch := time.NewTicker(r.watchPeriod())
+	defer watch.Stop()
 	for {
 		select {
 		case res := <-r.results:
@@ -73,7 +75,12 @@
 				return r.trace(answer)
 			}
 		case <-hedge.C:
+			r.relay.ask(sendCtx, r.call, r.service, r.tried)
 			r.hedge(sendCtx)
+		case <-watch.C:
+			if r.call.Route.Idempotent && r.open == 1 {
+				r.relay.watch(sendCtx, r)
+			}
 		case <-r.alerts:
 			r.reconsider(sendCtx)
 		case <-deadline.C:
@@ -105,6 +112,11 @@
 // first sends the call to an upstream, after a wait if no good one is free. It returns an
 // answer if that fails.
 func (r *run) first(ctx, sendCtx context.Context) *Answer {
+	for range askRounds {
+		if r.relay.knowsGood(r) || !r.relay.ask(ctx, r.call, r.service, r.tried) {
+			break
+		}
+	}
 	choice, w, refused := r.relay.acquire(r)
 	switch {
 	case refused != nil:
@@ -126,6 +138,7 @@
 			return undecided(htcall.ReasonCanceled)
 		case <-look.C:
 		}
+		r.relay.poll(ctx, w)
 		if r.relay.look(w) {
 			return refusal(htcall.ReasonQueueFull, r.relay.waitFor(r))
 		}
@@ -161,7 +174,6 @@
 
 // start sends the call to a chosen upstream in the background.
 func (r *run) start(ctx context.Context, choice *htselect.Choice) {
-	r.relay.events.Counted(choice.Upstream.Ref())
 	r.tried = append(r.tried, choice.Upstream.ID)
 	r.open++
 	r.sends++
@@ -169,7 +181,7 @@
 	r.sent = r.relay.now()
 	go func() {
 		reply := r.relay.sender.Send(ctx, choice.Upstream, r.call.Deadline, r.call)
-		r.relay.settle(r, choice, reply)
+		r.relay.settle(ctx, r, choice, reply)
 		r.results <- result{choice, reply}
 	}()
 }
@@ -230,7 +242,13 @@
 	if r.last != nil && float64(left) < minRetryShare*float64(r.last.Work) {
 		return false
 	}
-	return r.maySpend(now, why) && r.send(ctx) == nil
+	if !r.maySpend(now, why) {
+		return false
+	}
+	if why != retryHedge { // a hedge is decided by what others have just said
+		r.relay.ask(ctx, r.call, r.service, r.tried)
+	}
+	return r.send(ctx) == nil
 }
 
 // maySpend takes the token of one more send, if it needs one.
@@ -264,7 +282,15 @@
 	return max(time.Duration(hedgeFactor*float64(expected)), r.last.Work+hedgeFloor)
 }
 
-// hedge asks a second upstream.
+// watchPeriod returns the time between questions to the upstream that runs the call.
+func (r *run) watchPeriod() time.Duration {
+	if r.last == nil {
+		return watchFloor
+	}
+	return max(watchFloor, time.Duration(watchShare*float64(r.last.Expected)))
+}
+
+// hedge sends to a second upstream.
 func (r *run) hedge(ctx context.Context) {
 	if r.open != 1 {
 		return
@@ -297,13 +323,17 @@
 	r.relay.mu.Lock()
 	remaining := r.relay.selector.Remaining(now, r.last, r.sent)
 	down := r.relay.selector.Down(r.last)
-	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
 	r.relay.mu.Unlock()
-	if refused != nil {
+	late := now.Sub(r.call.Arrived)+remaining > time.Duration(lateShare*float64(r.call.Route.Target))
+	if !down && !late {
 		return
 	}
-	late := now.Sub(r.call.Arrived)+remaining > time.Duration(lateShare*float64(r.call.Route.Target))
-	if down || (late && float64(other.Expected) < gainShare*float64(remaining)) {
+	r.relay.ask(ctx, r.call, r.service, r.tried)
+	now = r.relay.now()
+	r.relay.mu.Lock()
+	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
+	r.relay.mu.Unlock()
+	if refused == nil && (down || float64(other.Expected) < gainShare*float64(remaining)) {
 		r.hedge(ctx)
 	}
 }
--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -10,7 +10,7 @@
 )
 
 // settle takes in what one send showed of its upstream.
-func (r *Relay) settle(of *run, c *htselect.Choice, reply Reply) {
+func (r *Relay) settle(ctx context.Context, of *run, c *htselect.Choice, reply Reply) {
 	call := of.call
 	now := r.now()
 	fault := htselect.Fault{Upstream: c.Upstream.Ref()}
@@ -38,9 +38,8 @@
 	case NotSent:
 		switch {
 		case reply.Refused:
-			down := r.selector.Unreachable(now, c)
-			r.crashes.down(now, down.Upstream)
-			defer r.events.Observed(down)
+			r.observe(now, htselect.Observation{Upstream: c.Upstream.Ref(), Slots: c.Upstream.Slots, Down: true})
+			defer r.events.UpstreamDown(c.Upstream, reply.Err, true)
 		case reply.Silent:
 			fault.Weight = htselect.FaultSilent
 		}
@@ -48,19 +47,20 @@
 		fault.Weight = brokenWeight(call, now, reply)
 		if reply.Reset {
 			r.crashes.broke(now, call.fingerprint(), c.Upstream.Ref())
+			// The answer was lost, or the upstream has crashed.
+			go r.probe(ctx, c.Upstream)
 		}
 	}
+	if report != nil {
+		report.Upstream = c.Upstream.Ref()
+		r.observe(now, *report)
+	}
 	r.selector.Faulty(now, fault)
 	r.pump(of.service)
 	r.mu.Unlock()
-	r.events.Counted(c.Upstream.Ref())
 	if fault.Weight > 0 {
 		r.events.Faulty(fault)
 	}
-	if report != nil {
-		report.Upstream = c.Upstream.Ref()
-		r.Observe(now, *report)
-	}
 }
 
 // brokenWeight returns the fault of a send that ended without an answer. A caller
--- /dev/null
+++ b/core/htselect/ask_test.go
@@ -0,0 +1,93 @@
+package htselect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hawthornturn/core/htcatalog"
+)
+
+// Guards against more probes of the upstreams than the platform allows, over all hosts,
+// while every host has far more calls than it can ask for.
+func TestProbesStayWithinTheBound(t *testing.T) {
+	tests := []struct{ hosts, upstreams int }{{16, 13}, {1, 3}, {120, 400}}
+	for _, tt := range tests {
+		c := catalog(tt.upstreams, nil)
+		asked := 0
+		const seconds = 5
+		for h := range tt.hosts {
+			s := newSelector(uint64(h), fixedGroup{tt.hosts, h}, c)
+			for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(4 * time.Millisecond) {
+				asked += len(s.Ask(now, lookup(), "stock", nil, 3))
+			}
+		}
+		// Saved tokens of one second are there at the start.
+		if bound := 60 * tt.upstreams * (seconds + 1); asked > bound {
+			t.Errorf("%d hosts, %d upstreams: %d probes in %d s, bound %d", tt.hosts, tt.upstreams, asked, seconds, bound)
+		}
+	}
+}
+
+// Guards against upstreams that no host considers although all have good ones, and against
+// hosts that hold connections to all upstreams of a large service.
+func TestApertureCoversAllUpstreams(t *testing.T) {
+	const hosts, upstreams = 120, 170
+	c := catalog(upstreams, func(i int, u *htcatalog.Upstream) { u.Domain = string(rune('a' + i%4)) })
+	asked := map[string]int{}
+	for h := range hosts {
+		s := New(string(rune('a'+h%4)), fixedGroup{hosts, h}, Limits{Retry: limit, ProbesPerSecond: 60}, newRand(uint64(h)))
+		s.Apply(start, c)
+		own := map[string]bool{}
+		for i := range 60 {
+			now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+			for _, u := range s.Ask(now, lookup(), "stock", nil, 3) {
+				own[u.ID] = true
+				s.Observe(now, report(u.ID, 100, 0))
+			}
+		}
+		if len(own) > 2*minAperture {
+			t.Errorf("host %d asks %d upstreams", h, len(own))
+		}
+		for id := range own {
+			asked[id]++
+		}
+	}
+	for i := range upstreams {
+		if id := fmt.Sprintf("u%d", i); asked[id] == 0 {
+			t.Errorf("no host considers %s", id)
+		}
+	}
+}
+
+// Guards against upstreams that are asked again and again although they do not answer, and
+// against those that are never asked again.
+func TestUpstreamThatIsDownIsAskedLess(t *testing.T) {
+	s := newSelector(1, fixedGroup{1, 0}, catalog(1, nil))
+	asked := 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(20 * time.Millisecond) {
+		for range s.Ask(now, lookup(), "stock", nil, 3) {
+			asked++
+			s.Observe(now, Observation{Upstream: htcatalog.RefOf("u0"), Down: true})
+		}
+		if got := choose(s, now); asked > 0 && got == "u0" {
+			t.Fatalf("a call was sent to an upstream that is down")
+		}
+	}
+	if asked < 4 || asked > 8 {
+		t.Errorf("asked %d times in 10 s", asked)
+	}
+}
+
+// Guards against choosing by an old report while the present state of another upstream is
+// known.
+func TestPresentStateGoesFirst(t *testing.T) {
+	s := newSelector(1, fixedGroup{16, 0}, catalog(2, func(_ int, u *htcatalog.Upstream) { u.Domain = "a" }))
+	s.Observe(start, report("u0", 100, 0))
+	now := start.Add(freshAge + 10*time.Millisecond)
+	s.Observe(now, report("u1", 150, 0))
+	choice, refused := s.Choose(now, lookup(), "stock", time.Second, nil)
+	if refused != nil || choice.Upstream.ID != "u1" || !choice.Fresh() {
+		t.Errorf("chose %+v, %+v", choice, refused)
+	}
+}
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -57,10 +57,12 @@
 	route *route
 }
 
+// Fresh reports whether the choice was made by the present state of the upstream.
+func (c *Choice) Fresh() bool { return c.Age >= 0 && c.Age <= freshAge }
+
 // Good reports whether waiting for another upstream would gain nothing, as far as known.
 func (c *Choice) Good() bool {
-	known := c.Age >= 0 && c.Age < reportAge
-	return !c.Crowded && (!known || float64(c.Expected) <= goodFactor*float64(c.Work))
+	return !c.Crowded && c.Fresh() && float64(c.Expected) <= goodFactor*float64(c.Work)
 }
 
 // Patience returns how long it is worth to wait for a good choice instead.
@@ -79,8 +81,8 @@
 func Bounded(wait time.Duration) time.Duration { return min(max(wait, shortestWait), longestWait) }
 
 // Choose returns the upstream of the service with the lowest expected completion time
-// for a call on the route with that much time left, or says why there is none. Tried
-// upstreams are left out.
+// for a call on the route with that much time left, or says why there is none. Upstreams
+// whose present state is known go before others. Tried upstreams are left out.
 func (s *Selector) Choose(now time.Time, r *htcatalog.Route, serviceName string, left time.Duration, tried []string) (*Choice, *Refused) {
 	sv := s.services[serviceName]
 	if sv == nil || len(sv.upstreams) == 0 {
@@ -89,12 +91,18 @@
 	state := s.route(r)
 	var best *upstream
 	bestScore := math.Inf(1)
+	bestFresh := false
 	full, cold := false, false
 	wait := longestWait
+	considered, aperture := 0, s.aperture(now, sv)
 	for _, u := range sv.upstreams {
 		if !s.usable(u) || slices.Contains(tried, u.declared.ID) {
 			continue
 		}
+		fresh := u.fresh(now)
+		if considered++; considered > aperture && best != nil && !fresh {
+			continue
+		}
 		if u.cold(now) {
 			if next := s.coldNext(now, u, sv.declared); next > 0 {
 				cold, wait = true, min(wait, next)
@@ -108,8 +116,8 @@
 			continue
 		}
 		score := s.score(now, u, load, r, state) * (1 + jitter*s.rng.Float64())
-		if score < bestScore {
-			best, bestScore = u, score
+		if (fresh && !bestFresh) || (fresh == bestFresh && score < bestScore) {
+			best, bestScore, bestFresh = u, score, fresh
 		}
 	}
 	wait = max(wait, shortestWait)
--- a/core/htselect/selector.go
+++ b/core/htselect/selector.go
@@ -24,12 +24,15 @@
 	services  map[string]*service
 	routes    map[string]*route
 	retry     RetryLimit
+
+	probesPerSecond float64 // of one upstream, over all hosts
+	probes          probeBudget
 }
 
 // service is the state of one service on this host.
 type service struct {
 	declared  htcatalog.Service
-	upstreams []*upstream
+	upstreams []*upstream // in the order in which this host considers them
 	budget    *retryBudget
 	crowding  float64 // how much slower crowded upstreams work
 }
@@ -40,8 +43,14 @@
 	credits []float64 // by part, of the smooth weighted round robin
 }
 
+// Limits bound what all hosts together may send beyond the first try of each call.
+type Limits struct {
+	Retry           RetryLimit
+	ProbesPerSecond float64 // of one upstream
+}
+
 // New returns a Selector for a host in a failure domain.
-func New(domain string, group Group, retry RetryLimit, rng *rand.Rand) *Selector {
+func New(domain string, group Group, limits Limits, rng *rand.Rand) *Selector {
 	return &Selector{
 		domain:    domain,
 		group:     group,
@@ -51,7 +60,9 @@
 		byRef:     map[htcatalog.Ref]*upstream{},
 		services:  map[string]*service{},
 		routes:    map[string]*route{},
-		retry:     retry,
+		retry:     limits.Retry,
+
+		probesPerSecond: limits.ProbesPerSecond,
 	}
 }
 
@@ -73,7 +84,7 @@
 		}
 		u := s.upstreams[d.ID]
 		if u == nil || u.declared.Started != d.Started || u.declared.Address != d.Address {
-			u = newUpstream(now, d)
+			u = newUpstream(now, d, s.rng.Float64())
 		}
 		u.declared = d
 		kept[d.ID] = u
@@ -82,6 +93,9 @@
 		u.service = sv
 		sv.upstreams = append(sv.upstreams, u)
 	}
+	for _, sv := range s.services {
+		s.arrange(sv)
+	}
 	s.upstreams = kept
 }
 
--- a/core/htselect/send.go
+++ b/core/htselect/send.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"hawthornturn/core/htcatalog"
 )
 
 // slowFactor is how many times the expected work time an answer may take before it
@@ -27,39 +25,6 @@
 	c.state.inFlight--
 }
 
-// InFlight returns the calls of this host at an upstream.
-func (s *Selector) InFlight(ref htcatalog.Ref) int {
-	if u := s.byRef[ref]; u != nil {
-		return u.inFlight
-	}
-	return 0
-}
-
-// EachInFlight calls f for each upstream at which this host has calls.
-func (s *Selector) EachInFlight(f func(ref htcatalog.Ref, calls int)) {
-	for ref, u := range s.byRef {
-		if u.inFlight > 0 {
-			f(ref, u.inFlight)
-		}
-	}
-}
-
-// Told says how many calls another host has at an upstream.
-func (s *Selector) Told(now time.Time, by Peer, ref htcatalog.Ref, calls int) {
-	u := s.byRef[ref]
-	if u == nil {
-		return
-	}
-	if u.others == nil {
-		u.others = map[Peer]count{}
-	}
-	if calls == 0 {
-		delete(u.others, by)
-		return
-	}
-	u.others[by] = count{calls, now}
-}
-
 // Remaining returns the expected time until the answer of a call that was sent a while
 // ago, from what is known of the upstream now.
 func (s *Selector) Remaining(now time.Time, c *Choice, sent time.Time) time.Duration {
@@ -89,13 +54,6 @@
 // RefusedBy says that the upstream refused the call unstarted.
 func (s *Selector) RefusedBy(now time.Time, c *Choice) { c.state.avoid = now.Add(refusalPause) }
 
-// Unreachable says that the upstream accepts no connection.
-func (s *Selector) Unreachable(now time.Time, c *Choice) Observation {
-	o := Observation{Upstream: c.state.ref, Slots: c.state.report.Slots, Down: true}
-	c.state.observe(now, o)
-	return o
-}
-
 // Misplaced says that another upstream answers at the address. The upstream gets no
 // more calls until it is announced anew.
 func (s *Selector) Misplaced(c *Choice) { c.state.misplaced = true }
--- a/core/htselect/upstream.go
+++ b/core/htselect/upstream.go
@@ -12,40 +12,28 @@
 	// goes to a faulty upstream, so only time can clear it.
 	faultMemory = 3 * time.Second
 	// reportAge is the time constant with which a report of speed and load loses its
-	// value. The host that watches an upstream tells changes at once, so an older report
-	// mostly still holds.
-	reportAge = 1200 * time.Millisecond
-	// reportFresh is the age up to which reports count as equally good: a preference
-	// for the newest one would send the calls of all hosts to the same upstream.
-	reportFresh = 400 * time.Millisecond
+	// value. Neighbours on shared machines change the speed about every 300 ms.
+	reportAge = 300 * time.Millisecond
+	// freshAge is the age up to which a report tells the present state. It covers the time
+	// in which an upstream that was asked answers, and the decision.
+	freshAge = 60 * time.Millisecond
 	// unknownSpeed is assumed of an upstream without a fresh report, in percent. It is
 	// the mean over time of a machine that is four times slower for a third of it.
 	unknownSpeed = 200.0
 )
 
-// Peer identifies another host.
-type Peer uint32
-
-// count is the number of calls that a host has at an upstream.
-type count struct {
-	calls int
-	at    time.Time
-}
-
-// countLimit is the age above which what a host told of its calls no longer counts. The
-// counts are repeated with each beat.
-const countLimit = 700 * time.Millisecond
-
 // upstream is what this host knows of one upstream.
 type upstream struct {
 	declared  htcatalog.Upstream
 	service   *service
 	ref       htcatalog.Ref
+	order     float64 // place among the upstreams that this host considers
 	report    Observation
-	seen      time.Time // when the report was valid last
-	inFlight  int       // calls of this host
-	others    map[Peer]count
-	foreign   int // reported calls that no host told of
+	seen      time.Time     // when the report was valid last
+	inFlight  int           // calls of this host
+	foreign   int           // reported calls of other hosts
+	asked     time.Time     // when this host asked last
+	downPause time.Duration // in which it is not asked again
 	coldUntil time.Time
 	coldSent  time.Time // last call of this host while the upstream was cold
 	avoid     time.Time // refused a call; gets none until then
@@ -54,8 +42,8 @@
 	misplaced bool // another upstream answers at its address
 }
 
-func newUpstream(now time.Time, d htcatalog.Upstream) *upstream {
-	return &upstream{declared: d, ref: d.Ref(), coldUntil: now.Add(d.ColdLeft), faultsAt: now}
+func newUpstream(now time.Time, d htcatalog.Upstream, order float64) *upstream {
+	return &upstream{declared: d, ref: d.Ref(), order: order, coldUntil: now.Add(d.ColdLeft), faultsAt: now}
 }
 
 // cold reports whether the upstream is in cold start.
@@ -66,11 +54,12 @@
 	if u.seen.IsZero() {
 		return 0
 	}
-	age := now.Sub(u.seen) - reportFresh
-	if age <= 0 {
-		return 1
-	}
-	return math.Exp(-float64(age) / float64(reportAge))
+	return math.Exp(-float64(max(0, now.Sub(u.seen))) / float64(reportAge))
+}
+
+// fresh reports whether the report tells the present state.
+func (u *upstream) fresh(now time.Time) bool {
+	return !u.seen.IsZero() && now.Sub(u.seen) <= freshAge
 }
 
 // speed returns how long work takes, as a factor of the usual.
@@ -84,18 +73,7 @@
 
 // load returns the calls that the upstream has now, from all hosts.
 func (u *upstream) load(now time.Time) float64 {
-	return float64(u.known(now)) + float64(u.foreign)*u.trust(now)
-}
-
-// known returns the calls that this host and the others say they have at the upstream.
-func (u *upstream) known(now time.Time) int {
-	n := u.inFlight
-	for _, c := range u.others {
-		if now.Sub(c.at) < countLimit {
-			n += c.calls
-		}
-	}
-	return n
+	return float64(u.inFlight) + float64(u.foreign)*u.trust(now)
 }
 
 // fault returns the recent faults, in failed calls.
@@ -121,9 +99,11 @@
 	}
 	u.report = o
 	u.seen = at
-	u.foreign = max(0, o.Running+o.Waiting-u.known(at))
+	u.foreign = max(0, o.Running+o.Waiting-u.inFlight)
 	if o.Down {
+		u.downPause = min(max(2*u.downPause, minDownPause), maxDownPause)
 		return
 	}
+	u.downPause = 0
 	u.coldUntil = at.Add(o.Cold)
 }
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -7,7 +7,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"hawthornturn/core/htcatalog"
 	"hawthornturn/core/htgroup"
 	"hawthornturn/core/htselect"
 	"hawthornturn/io/htgossip"
@@ -27,7 +26,7 @@
 	passDelay = 60 * time.Millisecond
 )
 
-// beat sends signs of life, with all that this host watches.
+// beat sends signs of life.
 func (e *Entry) beat(ctx context.Context) error {
 	tick := e.timers.Subscribe("beat", beatPeriod)
 	defer tick.Stop()
@@ -99,16 +98,6 @@
 	now := e.timers.Now()
 	m := e.newMessage()
 	m.Crashes = e.relay.Crashes()
-	watched := e.watched(now)
-	e.relay.Do(func(s *htselect.Selector) {
-		for _, u := range watched {
-			report, seen := s.Report(u.Ref())
-			if !seen.IsZero() {
-				m.Reports = append(m.Reports, htgossip.NewReport(report, now.Sub(seen)))
-			}
-		}
-		s.EachInFlight(func(ref htcatalog.Ref, calls int) { m.Counts = append(m.Counts, htgossip.NewCount(ref, calls)) })
-	})
 	status := &htgossip.Status{Domain: e.settings.Self.Domain, Capacity: e.settings.Self.Capacity, Store: -1, Leaving: e.stopping.Load()}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -146,7 +135,6 @@
 			}
 		}
 	}
-	e.relay.Pump()
 }
 
 // answer sends a beat to a host that has just started. The others hear of it by its own
@@ -173,13 +161,10 @@
 
 // learn gives the contents of a message to the relay.
 func (e *Entry) learn(now time.Time, m *htgossip.Message) {
-	for _, r := range m.Reports {
-		e.relay.Learn(now.Add(-r.Age()), r.Observation())
+	for _, ref := range m.Gone {
+		e.relay.Learn(now, htselect.Observation{Upstream: ref, Down: true})
 	}
 	e.relay.Do(func(s *htselect.Selector) {
-		for _, c := range m.Counts {
-			s.Told(now, m.Origin, c.Upstream, int(c.Calls))
-		}
 		for _, f := range m.Faults {
 			s.Faulty(now, htselect.Fault{Upstream: f.Upstream, Weight: float64(f.Percent) / 100})
 		}
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -26,19 +26,13 @@
 
 // Settings describe the host.
 type Settings struct {
-	Self        htgroup.Member
-	Seeds       []netip.AddrPort // hosts that may be running
-	Callers     string           // address for callers
-	Balancer    string           // address for the platform's balancer
-	ReadyPath   string
-	Retry       htselect.RetryLimit
-	ProbePeriod time.Duration // between probes of an upstream that gives no answers
-	Grace       time.Duration // from SIGTERM until the process is killed
-}
-
-// Prober asks an upstream for its state.
-type Prober interface {
-	Probe(ctx context.Context, to htcatalog.Upstream, healthPath string) (htselect.Observation, error)
+	Self      htgroup.Member
+	Seeds     []netip.AddrPort // hosts that may be running
+	Callers   string           // address for callers
+	Balancer  string           // address for the platform's balancer
+	ReadyPath string
+	Limits    htselect.Limits
+	Grace     time.Duration // from SIGTERM until the process is killed
 }
 
 // Directory lists the entry hosts in the platform's store.
@@ -58,7 +52,7 @@
 	Directory Directory
 	Decoder   Decoder
 	Sender    htrelay.Sender
-	Prober    Prober
+	Prober    htrelay.Prober
 	// Handler serves callers with the relay.
 	Handler func(*Entry) http.Handler
 	// Retain is told the addresses of all upstreams after each change.
@@ -76,8 +70,7 @@
 	group       *htgroup.Group
 	mirror      *htmirror.Mirror
 	decoded     map[string]decoded
-	watch       *watchList
-	heardLast   map[htselect.Peer]lastMessage
+	heardLast   map[htgossip.Peer]lastMessage
 	config      *htcatalog.Config
 	graceEnd    time.Time // when the next lapsed upstream is dropped
 	behindSince time.Time // when a message that was passed on named newer rows
@@ -133,7 +126,7 @@
 		bundles:  make(chan htgossip.Message, maxMessages),
 
 		incarnation: rand.Uint32(),
-		heardLast:   map[htselect.Peer]lastMessage{},
+		heardLast:   map[htgossip.Peer]lastMessage{},
 		sync:        htgossip.NewClient(),
 		metrics:     newMetrics(),
 	}
@@ -141,8 +134,8 @@
 		e.group.Add(htgroup.Member{Address: seed})
 	}
 	e.catalog.Store(htcatalog.New(nil, nil, nil))
-	selector := htselect.New(settings.Self.Domain, groupView{e}, settings.Retry, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	e.relay = htrelay.New(selector, settings.Self.Address.Addr().String(), ports.Sender, e, timers.Now)
+	selector := htselect.New(settings.Self.Domain, groupView{e}, settings.Limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	e.relay = htrelay.New(selector, settings.Self.Address.Addr().String(), ports.Sender, e, e, timers.Now)
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		return nil, err
@@ -190,6 +183,12 @@
 // Now returns the current time.
 func (e *Entry) Now() time.Time { return e.timers.Now() }
 
+// Probe implements htrelay.Prober.
+func (e *Entry) Probe(ctx context.Context, to htcatalog.Upstream, healthPath string) (htselect.Observation, error) {
+	e.metrics.probes.Add(1)
+	return e.ports.Prober.Probe(ctx, to, healthPath)
+}
+
 // Ready reports whether the host takes new connections, and if not, why.
 func (e *Entry) Ready() (bool, string) {
 	switch {
@@ -222,7 +221,6 @@
 		"beat":             e.beat,
 		"announce":         e.announce,
 		"hub":              e.relayMessages,
-		"probe":            e.probe,
 		"follow-declared":  func(c context.Context) error { return e.follow(c, htmirror.Declared) },
 		"follow-announced": func(c context.Context) error { return e.follow(c, htmirror.Announced) },
 		"catch-up":         e.catchUp,
--- a/io/htentry/hub.go
+++ b/io/htentry/hub.go
@@ -26,29 +26,27 @@
 	bundleSize = 24
 )
 
-// change is something that other hosts are told at once: an observation, a fault or a
-// new number of calls at an upstream.
+// change is something that other hosts are told at once: an upstream that is gone, or a
+// fault.
 type change struct {
-	observation *htselect.Observation
-	fault       *htselect.Fault
-	counted     htcatalog.Ref
+	gone  htcatalog.Ref
+	fault *htselect.Fault
 }
 
-// Observed implements htrelay.Events. Only the host that watches the upstream tells the
-// others of its load; what no host can miss is told by all.
-func (e *Entry) Observed(o htselect.Observation) {
-	if !o.Down && !e.watches(o.Upstream) {
-		return
+// UpstreamDown implements htrelay.Events. An upstream that only this host can't reach may
+// serve the others.
+func (e *Entry) UpstreamDown(u htcatalog.Upstream, err error, gone bool) {
+	logrus.WithFields(logrus.Fields{
+		"event": "upstream-down", "upstream": u.ID, "service": u.Service, "failure-domain": u.Domain, "gone": gone,
+	}).WithError(err).Warn("upstream does not answer")
+	if gone {
+		e.tell(change{gone: u.Ref()})
 	}
-	e.tell(change{observation: &o})
 }
 
 // Faulty implements htrelay.Events.
 func (e *Entry) Faulty(f htselect.Fault) { e.tell(change{fault: &f}) }
 
-// Counted implements htrelay.Events.
-func (e *Entry) Counted(ref htcatalog.Ref) { e.tell(change{counted: ref}) }
-
 func (e *Entry) tell(c change) {
 	select {
 	case e.changes <- c:
@@ -75,26 +73,17 @@
 // gather makes one message of the changes that wait.
 func (e *Entry) gather(first change) htgossip.Message {
 	m := e.newMessage()
-	counted := map[htcatalog.Ref]bool{}
 	add := func(c change) {
-		switch {
-		case c.observation != nil:
-			m.Reports = append(m.Reports, htgossip.NewReport(*c.observation, announceDelay))
-		case c.fault != nil:
+		if c.fault != nil {
 			m.Faults = append(m.Faults, htgossip.Fault{Upstream: c.fault.Upstream, Percent: uint8(100 * c.fault.Weight)})
-		default:
-			counted[c.counted] = true
+			return
 		}
+		m.Gone = append(m.Gone, c.gone)
 	}
 	add(first)
-	for len(e.changes) > 0 && len(m.Reports)+len(m.Faults)+len(counted) < maxChanges/8 {
+	for len(e.changes) > 0 && len(m.Gone)+len(m.Faults) < maxChanges/8 {
 		add(<-e.changes)
 	}
-	e.relay.Do(func(s *htselect.Selector) {
-		for ref := range counted {
-			m.Counts = append(m.Counts, htgossip.NewCount(ref, s.InFlight(ref)))
-		}
-	})
 	return m
 }
 
--- a/io/htgossip/message.go
+++ b/io/htgossip/message.go
@@ -12,7 +12,6 @@
 	"hawthornturn/core/htcatalog"
 	"hawthornturn/core/htmirror"
 	"hawthornturn/core/htroute"
-	"hawthornturn/core/htselect"
 )
 
 // MaxDatagram is the size in bytes up to which a datagram is not fragmented.
@@ -36,12 +35,11 @@
 
 // Message is what one host tells the others.
 type Message struct {
-	Origin      htselect.Peer        `cbor:"1,keyasint"`           // the host that made the message, by its IPv4 address
+	Origin      Peer                 `cbor:"1,keyasint"`           // the host that made the message, by its IPv4 address
 	Incarnation uint32               `cbor:"2,keyasint"`           // of the process
 	Sequence    uint32               `cbor:"3,keyasint"`           // grows with each message of an incarnation
 	Status      *Status              `cbor:"4,keyasint,omitempty"` // set in a beat
-	Reports     []Report             `cbor:"5,keyasint,omitempty"` // in a beat, of all upstreams that the host watches
-	Counts      []Count              `cbor:"6,keyasint,omitempty"` // in a beat, all that are not zero
+	Gone        []htcatalog.Ref      `cbor:"5,keyasint,omitempty"` // upstreams that are gone from their address
 	Faults      []Fault              `cbor:"7,keyasint,omitempty"`
 	Crashes     []htroute.CrashCount `cbor:"8,keyasint,omitempty"`
 }
@@ -61,48 +59,22 @@
 // if it has none.
 func (s *Status) StoreAge() time.Duration { return time.Duration(s.Store) * time.Millisecond }
 
+// Peer is the short name of a host: its IPv4 address.
+type Peer uint32
+
 // PeerOf returns the short name of the host at an address.
-func PeerOf(address netip.Addr) htselect.Peer {
+func PeerOf(address netip.Addr) Peer {
 	ip := address.Unmap().As4()
-	return htselect.Peer(binary.BigEndian.Uint32(ip[:]))
+	return Peer(binary.BigEndian.Uint32(ip[:]))
 }
 
 // AddressOf returns the address of a host.
-func AddressOf(p htselect.Peer) netip.Addr {
+func AddressOf(p Peer) netip.Addr {
 	var ip [4]byte
 	binary.BigEndian.PutUint32(ip[:], uint32(p))
 	return netip.AddrFrom4(ip)
 }
 
-// Count says how many calls the sender has at an upstream.
-type Count struct {
-	_        struct{} `cbor:",toarray"`
-	Upstream htcatalog.Ref
-	Calls    uint16
-}
-
-// NewCount returns a Count.
-func NewCount(ref htcatalog.Ref, calls int) Count { return Count{Upstream: ref, Calls: short(calls)} }
-
-// Report is an observation of an upstream.
-type Report struct {
-	_        struct{} `cbor:",toarray"`
-	Upstream htcatalog.Ref
-	AgeMS    uint16
-	Speed    uint16
-	Running  uint16
-	Waiting  uint16
-	Slots    uint16
-	ColdMS   uint32
-	State    uint8
-}
-
-// Bits of Report.State.
-const (
-	stateDown = 1 << iota
-	stateIll
-)
-
 // Fault is a failure of an upstream.
 type Fault struct {
 	_        struct{} `cbor:",toarray"`
@@ -110,46 +82,6 @@
 	Percent  uint8
 }
 
-// NewReport returns the wire form of an observation that was valid for age.
-func NewReport(o htselect.Observation, age time.Duration) Report {
-	r := Report{
-		Upstream: o.Upstream,
-		AgeMS:    short(int(age.Milliseconds())),
-		Speed:    short(o.Speed),
-		Running:  short(o.Running),
-		Waiting:  short(o.Waiting),
-		Slots:    short(o.Slots),
-		ColdMS:   uint32(min(max(o.Cold.Milliseconds(), 0), 1<<31)),
-	}
-	if o.Down {
-		r.State |= stateDown
-	}
-	if o.Ill {
-		r.State |= stateIll
-	}
-	return r
-}
-
-func short(n int) uint16 { return uint16(min(max(n, 0), 1<<16-1)) }
-
-// Observation returns what r says.
-func (r Report) Observation() htselect.Observation {
-	return htselect.Observation{
-		Upstream: r.Upstream,
-		Speed:    int(r.Speed),
-		Running:  int(r.Running),
-		Waiting:  int(r.Waiting),
-		Slots:    int(r.Slots),
-		Cold:     time.Duration(r.ColdMS) * time.Millisecond,
-		ColdTold: true,
-		Down:     r.State&stateDown != 0,
-		Ill:      r.State&stateIll != 0,
-	}
-}
-
-// Age returns how old the observation was when it was sent.
-func (r Report) Age() time.Duration { return time.Duration(r.AgeMS) * time.Millisecond }
-
 // Encode returns the bytes of d.
 func (d *Datagram) Encode() ([]byte, error) {
 	data, err := cbor.Marshal(d)
