htgroup, htentry: few hosts send beats directly, and hubs gather beats for 100 ms

Cause: every host sent beats to all hosts of its failure domain four times a second and the hub passed on each message after 8 ms, so a host of the grown site got some 650 datagrams a second, nearly all without news. Now three hosts of a failure domain send beats directly, the others by way of the hub, which passes on news after 8 ms and beats after 100 ms. Hosts take for the hub of another failure domain the one that speaks for it. A host is silent after 1.6 s; no duty depends on it any more but reading the store.

--- a/core/htgroup/group.go
+++ b/core/htgroup/group.go
@@ -9,13 +9,17 @@
 )
 
 const (
-	// SilenceLimit is how long a host may be silent before its duties move. It is
-	// four beats, so that lost datagrams or the loss of a hub move nothing.
-	SilenceLimit = 1100 * time.Millisecond
+	// SilenceLimit is how long a host may be silent until it no longer counts as running.
+	// It is three beats by way of the hub, so that lost datagrams or the loss of a hub
+	// move nothing.
+	SilenceLimit = 1600 * time.Millisecond
 	// HubLimit is how long a hub may be silent before another host takes its place. It
 	// is shorter than SilenceLimit: while a hub is lost, the hosts of its failure domain
 	// hear nothing of the others and must not take them for lost too.
 	HubLimit = 600 * time.Millisecond
+	// deputies is the number of hosts of a failure domain, the hub included, that tell all
+	// others there directly that they run. One of them becomes the hub if it is lost.
+	deputies = 3
 	// StoreLimit is the age of a reader's last answer from the store above which
 	// other hosts take up reading: the length of a long poll, which answers even if
 	// nothing changes, the time until the next beat tells of it, and a margin.
@@ -36,7 +40,9 @@
 type peer struct {
 	Member
 	hash      uint64
-	heard     time.Time
+	heard     time.Time // its newest message, whichever way it came
+	direct    time.Time // the last datagram that it sent to this host itself
+	hubSeen   time.Time // the last datagram that it sent here for its failure domain
 	storeSeen time.Time // its last answer from the store
 	leaving   bool
 }
@@ -113,7 +119,7 @@
 }
 
 func (p *peer) alive(now time.Time) bool {
-	return !p.heard.IsZero() && now.Sub(p.heard) < SilenceLimit
+	return recent(now, p.heard, SilenceLimit)
 }
 
 // running lists the hosts that hold duties, this one included.
@@ -159,29 +165,63 @@
 	return near
 }
 
+// Datagram notes a datagram that a host sent to this one itself. ForDomain says that it is
+// the hub of another failure domain and passes on what was told there.
+func (g *Group) Datagram(now time.Time, from netip.AddrPort, forDomain bool) {
+	p := g.peers[from]
+	if p == nil {
+		return
+	}
+	p.direct = now
+	if forDomain {
+		p.hubSeen = now
+	}
+}
+
 // Hubs returns the host of each failure domain that passes on the messages of its
 // domain: own is that of this host's domain, which may be this host itself, and far are
 // those of the others. Hosts that disagree on a hub do no harm, since each host that is
 // asked to pass messages on does so.
 func (g *Group) Hubs(now time.Time) (own Member, far []Member) {
-	best := map[string]*peer{g.self.Domain: g.peers[g.self.Address]}
+	self := g.peers[g.self.Address]
+	hub := self
+	best := map[string]*peer{}
 	for _, p := range g.peers {
-		if p.Address == g.self.Address || p.leaving || !p.prompt(now) {
-			continue
-		}
-		if b := best[p.Domain]; b == nil || p.betterHub(b) {
-			best[p.Domain] = p
+		switch {
+		case p == self || p.leaving:
+		case p.Domain == g.self.Domain:
+			if recent(now, p.direct, HubLimit) && p.betterHub(hub) {
+				hub = p
+			}
+		case p.alive(now):
+			if b := best[p.Domain]; b == nil || p.betterFarHub(now, b) {
+				best[p.Domain] = p
+			}
 		}
 	}
-	for domain, p := range best {
-		if domain == g.self.Domain {
-			own = p.Member
-		} else {
-			far = append(far, p.Member)
-		}
+	for _, p := range best {
+		far = append(far, p.Member)
 	}
 	slices.SortFunc(far, compareMembers)
-	return own, far
+	return hub.Member, far
+}
+
+// Deputy reports whether this host is the hub of its failure domain or may soon become it.
+func (g *Group) Deputy(now time.Time) bool {
+	self := g.peers[g.self.Address]
+	better := 0
+	for _, p := range g.peers {
+		if p != self && p.Domain == g.self.Domain && p.alive(now) && !p.leaving && p.betterHub(self) {
+			better++
+		}
+	}
+	return better < deputies
+}
+
+// Alone reports whether more than half of the known hosts are silent, so that it is
+// rather this one that was cut off.
+func (g *Group) Alone(now time.Time) bool {
+	return 2*len(g.running(now)) <= len(g.peers)
 }
 
 // betterHub reports whether p is to be the hub rather than o. A hub sends as many bytes as
@@ -193,9 +233,28 @@
 	return weight(p.hash, hubKey) > weight(o.hash, hubKey)
 }
 
-// prompt reports whether the peer was heard within the limit for hubs.
-func (p *peer) prompt(now time.Time) bool {
-	return !p.heard.IsZero() && now.Sub(p.heard) < HubLimit
+// betterFarHub reports whether p is to be taken for the hub of its failure domain rather
+// than o: hosts that speak for it come first, then those that did not fall silent as a hub.
+func (p *peer) betterFarHub(now time.Time, o *peer) bool {
+	if a, b := p.farHubRank(now), o.farHubRank(now); a != b {
+		return a < b
+	}
+	return p.betterHub(o)
+}
+
+func (p *peer) farHubRank(now time.Time) int {
+	switch {
+	case recent(now, p.hubSeen, HubLimit):
+		return 0
+	case p.hubSeen.IsZero():
+		return 1
+	}
+	return 2
+}
+
+// recent reports whether a time is at most limit ago.
+func recent(now, at time.Time, limit time.Duration) bool {
+	return !at.IsZero() && now.Sub(at) < limit
 }
 
 func compareMembers(a, b Member) int { return a.Address.Compare(b.Address) }
--- a/core/htmirror/row.go
+++ b/core/htmirror/row.go
@@ -52,3 +52,11 @@
 	}
 	return false
 }
+
+// Max returns the newer version of each table.
+func (v Versions) Max(o Versions) Versions {
+	for t := range v {
+		v[t] = max(v[t], o[t])
+	}
+	return v
+}
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	// beatPeriod is the time between signs of life. Some may be lost before the duties
-	// of a host move.
+	// beatPeriod is the time between the signs of life that hubs and their deputies send
+	// directly. Two may be lost before another host becomes the hub.
 	beatPeriod = 250 * time.Millisecond
-	// quietBeats is how many beats pass between tries to reach a silent host.
-	quietBeats = 4
-	// farBeats is how many beats pass between those that go to other failure domains.
+	// farBeats is how many beats pass between those that go to all hosts, by way of the
+	// hub.
 	farBeats = 2
+	// quietBeats is how many beats pass between tries to reach silent hosts.
+	quietBeats = 4
 	// forgetAfter is how long a silent host is tried.
 	forgetAfter = 2 * time.Minute
 	// passDelay is how long rows may take by way of the hub.
@@ -30,19 +31,28 @@
 func (e *Entry) beat(ctx context.Context) error {
 	tick := e.timers.Subscribe("beat", beatPeriod)
 	defer tick.Stop()
-	e.sendBeat(true)
+	e.spread(e.newBeat())
+	e.beatQuiet()
 	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
 		}
-		if n%farBeats != 0 {
+		now := e.timers.Now()
+		e.mu.Lock()
+		deputy, alone := e.group.Deputy(now), e.group.Alone(now)
+		e.mu.Unlock()
+		if deputy {
 			e.beatNear()
-			continue
 		}
-		e.sendBeat(n%quietBeats == 0)
-		e.expire()
+		if n%farBeats == 0 {
+			e.spread(e.newBeat())
+			e.expire()
+		}
+		if n%quietBeats == 0 && (deputy || alone) {
+			e.beatQuiet()
+		}
 	}
 }
 
@@ -66,24 +76,25 @@
 	}
 }
 
-// sendBeat sends a beat to the hosts of this failure domain and, by way of the hub, to
-// the others. If all is set, silent hosts get it too.
-func (e *Entry) sendBeat(all bool) {
-	m := e.newBeat()
+// beatAll sends a beat with news to the hosts of this failure domain and, by way of the
+// hub, to the others.
+func (e *Entry) beatAll() {
+	e.beatNear()
+	e.spread(e.newBeat())
+}
+
+// beatQuiet asks silent hosts whether they run.
+func (e *Entry) beatQuiet() {
 	e.mu.Lock()
-	now := e.timers.Now()
-	near := e.group.Near(now)
-	_, quiet := e.group.Others(now)
+	_, quiet := e.group.Others(e.timers.Now())
 	e.mu.Unlock()
-	e.transmit(htgossip.ScopeNone, []htgossip.Message{m}, near)
-	e.spread(m)
-	if all && len(quiet) > 0 {
-		status := *m.Status
-		status.Asks = true
-		status.Name = e.settings.Self.Name
-		m.Status = &status
-		e.transmit(htgossip.ScopeNone, []htgossip.Message{m}, quiet)
+	if len(quiet) == 0 {
+		return
 	}
+	m := e.newBeat()
+	m.Status.Asks = true
+	m.Status.Name = e.settings.Self.Name
+	e.transmit(htgossip.ScopeNone, []htgossip.Message{m}, quiet)
 }
 
 // beatNear sends a beat to the hosts of this failure domain.
@@ -120,6 +131,9 @@
 // receive takes in a datagram of another host.
 func (e *Entry) receive(from netip.AddrPort, d *htgossip.Datagram) {
 	now := e.timers.Now()
+	e.mu.Lock()
+	e.group.Datagram(now, from, d.Scope == htgossip.ScopeDomain)
+	e.mu.Unlock()
 	e.passOn(d)
 	for i := range d.Messages {
 		m := &d.Messages[i]
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -72,8 +72,9 @@
 	decoded     map[string]decoded
 	heardLast   map[htgossip.Peer]lastMessage
 	config      *htcatalog.Config
-	graceEnd    time.Time // when the next lapsed upstream is dropped
-	behindSince time.Time // when a message that was passed on named newer rows
+	graceEnd    time.Time         // when the next lapsed upstream is dropped
+	passed      htmirror.Versions // newest versions of which this host told as a hub
+	behindSince time.Time         // when a message that was passed on named newer rows
 
 	catalog  atomic.Pointer[htcatalog.Catalog]
 	stopping atomic.Bool
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -122,7 +122,7 @@
 		logrus.WithFields(logrus.Fields{"event": "store-regained"}).Info("the store serves this host")
 	}
 	// Also an answer without news is told: others take up reading if they hear of none.
-	e.sendBeat(false)
+	e.beatAll()
 	return changed
 }
 
@@ -137,7 +137,7 @@
 	e.metrics.storeFailures.Add(1)
 	if lost {
 		logrus.WithFields(logrus.Fields{"event": "store-lost", "table": t}).WithError(err).Warn("the store does not serve this host")
-		e.sendBeat(false)
+		e.beatAll()
 	}
 	if rank >= retryFirst || served {
 		return retrySlow * retryPeriod
@@ -231,7 +231,7 @@
 		e.group.Add(m)
 	}
 	e.mu.Unlock()
-	e.sendBeat(true)
+	e.beatQuiet()
 	return written
 }
 
--- a/io/htentry/front.go
+++ b/io/htentry/front.go
@@ -63,7 +63,7 @@
 	start := e.timers.Now()
 	e.stopping.Store(true)
 	logrus.WithFields(logrus.Fields{"event": "host-stopping", "grace-ms": e.settings.Grace.Milliseconds()}).Info("planned stop")
-	e.sendBeat(false)
+	e.beatAll()
 	time.Sleep(min(stopNotice, e.settings.Grace/2))
 	left := e.settings.Grace - stopReserve - e.timers.Now().Sub(start)
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
--- a/io/htentry/hub.go
+++ b/io/htentry/hub.go
@@ -16,9 +16,10 @@
 const (
 	// announceDelay gathers changes that come at the same moment into one message.
 	announceDelay = 3 * time.Millisecond
-	// hubDelay gathers the messages of a failure domain into one datagram. What is known
-	// of the load of an upstream gets older by it.
-	hubDelay = 8 * time.Millisecond
+	// hubDelay gathers the messages of a failure domain that have news into one datagram,
+	// and beatDelay those that have none.
+	hubDelay  = 8 * time.Millisecond
+	beatDelay = 100 * time.Millisecond
 	// maxChanges and maxMessages bound what waits to be sent.
 	maxChanges  = 256
 	maxMessages = 1024
@@ -135,19 +136,10 @@
 // relayMessages sends what the hub has gathered.
 func (e *Entry) relayMessages(ctx context.Context) error {
 	for {
-		var messages []htgossip.Message
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case m := <-e.bundles:
-			messages = append(messages, m)
-		}
-		if err := sleep(ctx, hubDelay); err != nil {
+		messages, err := e.gatherMessages(ctx)
+		if err != nil {
 			return err
 		}
-		for len(e.bundles) > 0 && len(messages) < bundleSize {
-			messages = append(messages, <-e.bundles)
-		}
 		e.mu.Lock()
 		now := e.timers.Now()
 		near := e.group.Near(now)
@@ -158,6 +150,45 @@
 	}
 }
 
+// gatherMessages waits for messages until a datagram is full or the oldest ones have
+// waited long enough.
+func (e *Entry) gatherMessages(ctx context.Context) ([]htgossip.Message, error) {
+	var messages []htgossip.Message
+	wait := time.NewTimer(time.Hour)
+	defer wait.Stop()
+	urgent := false
+	for len(messages) < bundleSize {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-wait.C:
+			return messages, nil
+		case m := <-e.bundles:
+			messages = append(messages, m)
+			switch news := e.hasNews(&m); {
+			case news && !urgent:
+				urgent = true
+				wait.Reset(hubDelay)
+			case len(messages) == 1:
+				wait.Reset(beatDelay)
+			}
+		}
+	}
+	return messages, nil
+}
+
+// hasNews reports whether other hosts should get a message soon.
+func (e *Entry) hasNews(m *htgossip.Message) bool {
+	if m.Status == nil {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	newer := e.passed.Behind(m.Status.Versions)
+	e.passed = e.passed.Max(m.Status.Versions)
+	return newer || m.Status.Leaving
+}
+
 func (e *Entry) transmit(scope htgossip.Scope, messages []htgossip.Message, to []htgroup.Member) {
 	if len(to) == 0 {
 		return
