--- a/cmd/hawthornturn-entry/main.go
+++ b/cmd/hawthornturn-entry/main.go
@@ -42,25 +42,26 @@
 	defer log.Close()
 	logrus.SetOutput(log)
 	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	// Asked for before anything else, since an early SIGHUP would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	path := c.String("settings")
 	settings, err := htadapter.LoadSettings(path)
 	if err != nil {
 		return err
 	}
-	go reload(ctx, path)
+	go reload(ctx, path, hangups)
 	return htadapter.Run(ctx, settings)
 }
 
 // reload checks the settings again on SIGHUP. Addresses and bounds of a running process
 // stay; a file that can't be read changes nothing.
-func reload(ctx context.Context, path string) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func reload(ctx context.Context, path string, hangups <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangups:
 		}
 		line := logrus.WithFields(logrus.Fields{"event": "settings-reloaded", "path": path})
 		if _, err := htadapter.LoadSettings(path); err != nil {
--- a/core/htrelay/crash.go
+++ b/core/htrelay/crash.go
@@ -1,6 +1,7 @@
 package htrelay
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,11 +25,13 @@
 	maxCrashNews = 8
 )
 
-// crashes counts which requests crash the upstreams that run them.
+// crashes counts which requests crash the upstreams that run them. Each upstream is a
+// reporter of its own crashes, whichever host saw them, so that one crash that several
+// hosts see counts once.
 type crashes struct {
-	reporter   string
 	quarantine *htroute.Quarantine
 	suspects   []suspect
+	news       []htroute.CrashCount // seen by this host, oldest first
 }
 
 // suspect is a request whose connection broke.
@@ -38,16 +41,19 @@
 	at          time.Time
 }
 
-func newCrashes(reporter string) *crashes {
-	return &crashes{reporter: reporter, quarantine: htroute.NewQuarantine(crashThreshold, crashWindow)}
+func newCrashes() *crashes {
+	return &crashes{quarantine: htroute.NewQuarantine(crashThreshold, crashWindow)}
 }
 
-func name(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 36) }
+func name[T ~uint32 | ~uint64](id T) string { return strconv.FormatUint(uint64(id), 36) }
 
 func (c *crashes) blocked(now time.Time, fingerprint uint64) bool {
 	return c.quarantine.Blocked(now, name(fingerprint))
 }
 
+// served notes that an upstream has run a request to its end.
+func (c *crashes) served(fingerprint uint64) { c.quarantine.Served(name(fingerprint)) }
+
 // broke notes that the connection of a request broke.
 func (c *crashes) broke(now time.Time, fingerprint uint64, ref htcatalog.Ref) {
 	if len(c.suspects) >= maxSuspects {
@@ -62,20 +68,29 @@
 	for _, s := range c.suspects {
 		switch {
 		case now.Sub(s.at) > crashConfirm:
-		case s.upstream == ref:
-			c.quarantine.Crashed(now, name(s.fingerprint), c.reporter)
-		default:
+		case s.upstream != ref:
 			kept = append(kept, s)
+		case now.Sub(c.quarantine.Last(name(s.fingerprint), name(ref))) > crashConfirm:
+			c.news = append(c.news, c.quarantine.Crashed(now, name(s.fingerprint), name(ref)))
 		}
 	}
 	c.suspects = kept
 }
 
+// recent returns the newest crashes that this host saw. All that is known would outgrow a
+// datagram after a few crashed upstreams.
+func (c *crashes) recent(now time.Time) []htroute.CrashCount {
+	for len(c.news) > 0 && now.Sub(c.news[0].Last) > crashNews {
+		c.news = c.news[1:]
+	}
+	return slices.Clone(c.news[max(0, len(c.news)-maxCrashNews):])
+}
+
 // Crashes returns what other hosts are told of crashes that this host saw.
 func (r *Relay) Crashes() []htroute.CrashCount {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.crashes.quarantine.News(r.now(), r.crashes.reporter, crashNews, maxCrashNews)
+	return r.crashes.recent(r.now())
 }
 
 // AllCrashes returns all crash counts, for a host that has just started.
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -24,10 +24,10 @@
 }
 
 // New returns a Relay. It takes over the selector: all later use must go through Do.
-func New(selector *htselect.Selector, reporter string, sender Sender, prober Prober, events Events, now func() time.Time) *Relay {
+func New(selector *htselect.Selector, sender Sender, prober Prober, events Events, now func() time.Time) *Relay {
 	return &Relay{
 		selector: selector,
-		crashes:  newCrashes(reporter),
+		crashes:  newCrashes(),
 		sender:   sender,
 		prober:   prober,
 		events:   events,
@@ -95,7 +95,7 @@
 	}
 	r.mu.Unlock()
 	if blocked {
-		return refusal(htcall.ReasonQuarantined, 0)
+		return refusal(htcall.ReasonQuarantined, crashWindow)
 	}
 	run := newRun(r, call, service)
 	answer := run.serve(ctx)
--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -27,6 +27,7 @@
 		case reply.Status >= http.StatusInternalServerError:
 			fault.Weight = htselect.FaultError
 		default:
+			r.crashes.served(call.fingerprint())
 			fault = r.selector.Answered(c, reply.Work, len(reply.Body))
 		}
 	case Refused:
--- a/core/htroute/quarantine.go
+++ b/core/htroute/quarantine.go
@@ -36,10 +36,25 @@
 
 // Crashed counts a crash that reporter saw. A reporter must report under a name of
 // its own in each incarnation, so that counts of one name never fall.
-func (q *Quarantine) Crashed(now time.Time, fingerprint, reporter string) {
+func (q *Quarantine) Crashed(now time.Time, fingerprint, reporter string) CrashCount {
 	q.expire(now)
 	c := q.counts[fingerprint][reporter]
-	q.put(CrashCount{Fingerprint: fingerprint, Reporter: reporter, Count: c.Count + 1, Last: now})
+	c = CrashCount{Fingerprint: fingerprint, Reporter: reporter, Count: c.Count + 1, Last: now}
+	q.put(c)
+	return c
+}
+
+// Last returns the time of the last crash that a reporter saw.
+func (q *Quarantine) Last(fingerprint, reporter string) time.Time {
+	return q.counts[fingerprint][reporter].Last
+}
+
+// Served takes in that an upstream has run the request to its end. The same request sent
+// by many callers is then not to blame for the crashes before.
+func (q *Quarantine) Served(fingerprint string) {
+	for _, c := range q.counts[fingerprint] {
+		q.drop(c)
+	}
 }
 
 // Blocked reports whether the fingerprint reached the threshold.
@@ -66,24 +81,6 @@
 	return all
 }
 
-// News returns the newest counts of a reporter that changed within an age, at most most of
-// them. All that Export returns would outgrow a datagram after a few crashed upstreams.
-func (q *Quarantine) News(now time.Time, reporter string, age time.Duration, most int) []CrashCount {
-	var news []CrashCount
-	for _, reporters := range q.counts {
-		if c, told := reporters[reporter]; told && now.Sub(c.Last) < age {
-			news = append(news, c)
-		}
-	}
-	slices.SortFunc(news, func(a, b CrashCount) int {
-		if c := b.Last.Compare(a.Last); c != 0 {
-			return c
-		}
-		return compareCrashes(a, b)
-	})
-	return news[:min(len(news), most)]
-}
-
 func compareCrashes(a, b CrashCount) int {
 	if c := strings.Compare(a.Fingerprint, b.Fingerprint); c != 0 {
 		return c
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -136,7 +136,7 @@
 	}
 	e.catalog.Store(htcatalog.New(nil, nil, nil))
 	selector := htselect.New(settings.Self.Domain, groupView{e}, settings.Limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	e.relay = htrelay.New(selector, settings.Self.Address.Addr().String(), ports.Sender, e, e, timers.Now)
+	e.relay = htrelay.New(selector, ports.Sender, e, e, timers.Now)
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		return nil, err
