htrelay, htselect: calls that can be on time go first, and late ones crowd no upstream

Now a waiting call goes to an upstream only if it is good, or if its answer can still be on time there; calls that can be on time go first; a call that will be late is refused after 1.2 of its target, with the time to come back. Nothing waits in an upstream's own queue, and an upstream that did not answer a question is asked again after 0.1 s, not 0.4 s: one that is full may be silent.

--- a/cmd/hawthornturn-entry/main.go
+++ b/cmd/hawthornturn-entry/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -38,10 +39,15 @@
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
-	log := htlog.New(os.Stdout)
-	defer log.Close()
-	logrus.SetOutput(log)
+	output := htlog.New(os.Stdout)
+	defer output.Close()
+	logrus.SetOutput(output)
 	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	// net/http writes lines of its own, as on an answer that nobody asked for.
+	library := logrus.WithField("event", "http-library").WriterLevel(logrus.WarnLevel)
+	defer func() { _ = library.Close() }()
+	log.SetFlags(0)
+	log.SetOutput(library)
 	// Asked for before anything else, since an early SIGHUP would end the process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornturn/core/htcall"
+	"hawthornturn/core/htcatalog"
 	"hawthornturn/core/htselect"
 )
 
@@ -12,6 +13,8 @@
 	// lookPeriod is the time between looks of a waiting call that no event wakes: cold
 	// upstreams and pauses after a refusal end by themselves.
 	lookPeriod = 10 * time.Millisecond
+	// lateWaitShare of the target is waited at most by a call whose answer will be late.
+	lateWaitShare = 1.2
 	// maxWaiting bounds the calls that wait for one service.
 	maxWaiting = 256
 )
@@ -20,11 +23,13 @@
 type waiter struct {
 	run     *run
 	since   time.Time
-	until   time.Time // from then on any upstream will do; zero: not known yet
+	until   time.Time // from then on it does not wait for a better upstream; zero: not known yet
 	granted chan *htselect.Choice
 }
 
-// queue holds the waiters of a service, the most urgent first, then by arrival.
+// queue holds the waiters of a service, the most urgent first, then by arrival. It answers
+// the load of a burst, or of a failure domain that was taken out: more calls than the
+// upstreams can answer on time.
 type queue struct {
 	waiters []*waiter
 	polled  time.Time // when upstreams were asked last on behalf of the waiters
@@ -121,37 +126,46 @@
 		return
 	}
 	now := r.now()
-	for len(q.waiters) > 0 {
-		at := r.next(now, q)
-		w := q.waiters[at]
-		call := w.run.call
-		choice, refused := r.selector.Choose(now, call.Route, service, call.Deadline.Sub(now), w.run.tried)
-		if refused != nil {
-			return
+	// Calls that can still be answered on time come first. In overload, waiting in the
+	// order of arrival would make all calls late.
+	for _, timely := range []bool{true, false} {
+		for i := 0; i < len(q.waiters); {
+			w := q.waiters[i]
+			call := w.run.call
+			choice, refused := r.selector.Choose(now, call.Route, service, call.Deadline.Sub(now), w.run.tried)
+			if refused != nil {
+				return
+			}
+			if w.until.IsZero() {
+				w.until = now.Add(choice.Patience(call.Route.Target))
+			}
+			if w.onTime(now, choice.Expected) != timely || !w.takes(now, choice) {
+				i++
+				continue
+			}
+			q.waiters = slices.Delete(q.waiters, i, i+1)
+			r.take(now, w.run, choice)
+			w.granted <- choice
 		}
-		if w.until.IsZero() {
-			w.until = now.Add(choice.Patience(call.Route.Target))
-		}
-		if !choice.Good() && now.Before(w.until) {
-			return
-		}
-		q.waiters = slices.Delete(q.waiters, at, at+1)
-		r.take(now, w.run, choice)
-		w.granted <- choice
 	}
 }
 
-// next returns the waiter to serve: the first one that can still be answered on time, or
-// the first one of all. In overload, waiting in the order of arrival would make all calls
-// late. The caller holds r.mu.
-func (r *Relay) next(now time.Time, q *queue) int {
-	for i, w := range q.waiters {
-		call := w.run.call
-		if now.Sub(call.Arrived)+r.selector.Work(call.Route) < call.Route.Target {
-			return i
-		}
+// takes reports whether a waiting call goes to an upstream. A call that will be late does
+// not crowd an upstream: in overload, the others there would be late too.
+func (w *waiter) takes(now time.Time, c *htselect.Choice) bool {
+	switch {
+	case c.Good():
+		return true
+	case c.Crowded && !w.onTime(now, c.Expected):
+		return false
 	}
-	return 0
+	return !now.Before(w.until)
+}
+
+// onTime reports whether an answer within a time meets the target of the route.
+func (w *waiter) onTime(now time.Time, within time.Duration) bool {
+	call := w.run.call
+	return now.Sub(call.Arrived)+within <= call.Route.Target
 }
 
 // pumpAll grants upstreams to the waiting calls of all services. The caller holds r.mu.
@@ -190,12 +204,22 @@
 	defer r.mu.Unlock()
 	r.pump(w.run.service)
 	q := r.queues[w.run.service]
-	if slices.Contains(q.waiters, w) && call.Deadline.Sub(now) < r.selector.Shortest(call.Route) {
+	if !slices.Contains(q.waiters, w) {
+		return false
+	}
+	late := !w.onTime(now, r.selector.Work(call.Route)) && now.Sub(w.since) > lateWait(call.Route)
+	if late || call.Deadline.Sub(now) < r.selector.Shortest(call.Route) {
 		return q.remove(w)
 	}
 	return false
 }
 
+// lateWait is how long a call waits if its answer will be late. In overload, more waiting
+// brings nothing, and a caller that is refused may come back when it is over.
+func lateWait(route *htcatalog.Route) time.Duration {
+	return time.Duration(lateWaitShare * float64(route.Target))
+}
+
 // waitFor returns when a refused call may come back.
 func (r *Relay) waitFor(of *run) time.Duration {
 	r.mu.Lock()
--- a/core/htrelay/queue_test.go
+++ b/core/htrelay/queue_test.go
@@ -18,6 +18,7 @@
 	mu   sync.Mutex
 	at   map[string]int
 	most int
+	knee float64 // how many times slower calls are that share an upstream; 0: not at all
 }
 
 // Send implements Sender.
@@ -25,17 +26,21 @@
 	s.mu.Lock()
 	s.at[to.ID]++
 	s.most = max(s.most, s.at[to.ID])
+	work := 80 * time.Millisecond
+	if s.at[to.ID] > 1 && s.knee > 0 {
+		work = time.Duration(s.knee * float64(work))
+	}
 	s.mu.Unlock()
-	defer func() {
+	select {
+	case <-time.After(work):
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.at[to.ID]--
-	}()
-	const work = 80 * time.Millisecond
-	select {
-	case <-time.After(work):
-		return Answered{Status: 200, Work: work}
+		return Answered{Status: 200, Work: work, Report: &htselect.Observation{Speed: 100, Running: s.at[to.ID], Slots: 2}}
 	case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.at[to.ID]--
 		return Broken{Err: ctx.Err()}
 	}
 }
@@ -71,10 +76,10 @@
 
 // play sends calls at an interval for two seconds to three upstreams of two slots, which
 // serve one call each at their usual speed: 37 calls a second.
-func play(t *testing.T, interval time.Duration) (*tally, *workers) {
+func play(t *testing.T, interval time.Duration, knee float64) (*tally, *workers) {
 	t.Helper()
 	w := newWorld(false)
-	busy := &workers{at: map[string]int{}}
+	busy := &workers{at: map[string]int{}, knee: knee}
 	w.relay.sender = busy
 	w.relay.prober = busy
 	got := &tally{}
@@ -106,7 +111,7 @@
 	}
 	for _, tt := range tests {
 		synctest.Test(t, func(t *testing.T) {
-			got, busy := play(t, tt.interval)
+			got, busy := play(t, tt.interval, 0)
 			total := got.onTime + got.late + got.refused
 			if share := float64(got.onTime) / float64(total); share < tt.onTime {
 				t.Errorf("%s: %d of %d on time, %d late, %d refused", tt.name, got.onTime, total, got.late, got.refused)
@@ -120,3 +125,21 @@
 		})
 	}
 }
+
+// Guards against an overload in which calls that are late anyway crowd the upstreams, so
+// that the others become late too, and against holding such calls until their deadline.
+func TestLateCallsDoNotCrowd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Calls that share an upstream work 2.5 times as long and miss the target.
+		got, _ := play(t, 20*time.Millisecond, 2.5)
+		total := got.onTime + got.late + got.refused
+		// The upstreams can answer 37 of the 50 calls a second on time. As in TestLoad, half
+		// of the calls must be.
+		if share := float64(got.onTime) / float64(total); share < 0.5 {
+			t.Errorf("%d of %d on time, %d late, %d refused", got.onTime, total, got.late, got.refused)
+		}
+		if limit := 450 * time.Millisecond; got.slowestRefuse > limit {
+			t.Errorf("a call was refused after %v, want at most %v", got.slowestRefuse, limit)
+		}
+	})
+}
--- a/core/htselect/ask.go
+++ b/core/htselect/ask.go
@@ -22,7 +22,7 @@
 	askJitter = 0.3
 	// minDownPause and maxDownPause bound the time in which an upstream that does not
 	// answer is not asked again. The pause doubles with each failure.
-	minDownPause = 400 * time.Millisecond
+	minDownPause = 100 * time.Millisecond
 	maxDownPause = 3 * time.Second
 	// probeShare of the bound on probes is used, since calls do not come evenly to the
 	// hosts.
@@ -72,18 +72,41 @@
 	})
 }
 
+// candidate is an upstream that may be asked, with its score by what is known of it.
+type candidate struct {
+	upstream *upstream
+	score    float64
+}
+
 // Ask returns up to n upstreams to ask for their state before a call on the route is
 // sent, within the bound on probes: the most promising ones, and the one that was not
 // asked for the longest time.
 func (s *Selector) Ask(now time.Time, r *htcatalog.Route, serviceName string, tried []string, n int) []htcatalog.Upstream {
+	list := s.candidates(now, r, serviceName, tried, n)
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	if n > 1 && len(list) > n {
+		// New upstreams and returned ones are found although good ones are known.
+		explored := slices.MinFunc(list[n-1:], func(a, b candidate) int { return a.upstream.asked.Compare(b.upstream.asked) })
+		list[n-1] = explored
+	}
+	var asked []htcatalog.Upstream
+	for _, c := range list[:min(n, len(list))] {
+		if !s.spendProbe(now) {
+			break
+		}
+		c.upstream.asked = now
+		asked = append(asked, c.upstream.declared)
+	}
+	return asked
+}
+
+// candidates lists the upstreams that may be asked: those that this host considers, and
+// more if fewer than n of these may be asked now.
+func (s *Selector) candidates(now time.Time, r *htcatalog.Route, serviceName string, tried []string, n int) []candidate {
 	sv := s.services[serviceName]
 	if sv == nil {
 		return nil
 	}
-	type candidate struct {
-		upstream *upstream
-		score    float64
-	}
 	var list []candidate
 	state := s.route(r)
 	considered, aperture := 0, s.aperture(now, sv)
@@ -100,26 +123,7 @@
 		score := s.score(now, u, u.load(now), r, state) * (1 + askJitter*s.rng.Float64())
 		list = append(list, candidate{u, score})
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
-	var asked []htcatalog.Upstream
-	for i := range min(n, len(list)) {
-		if !s.spendProbe(now) {
-			break
-		}
-		at := i
-		if i > 0 && i == n-1 {
-			// The last question goes to the upstream of which least is known, so that new
-			// and returned ones are found although good ones are known.
-			for j := i + 1; j < len(list); j++ {
-				if list[j].upstream.asked.Before(list[at].upstream.asked) {
-					at = j
-				}
-			}
-		}
-		list[at].upstream.asked = now
-		asked = append(asked, list[at].upstream.declared)
-	}
-	return asked
+	return list
 }
 
 // askable reports whether it may help to ask u.
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -16,9 +16,6 @@
 	goodFactor = 1.35
 	// coldFactor is how much slower a cold upstream works.
 	coldFactor = 2.0
-	// queuePlaces is how many calls beyond its slots an upstream is sent. Some
-	// upstreams never answer a request that they can't queue.
-	queuePlaces = 2
 	// distanceShare of the target is added for an upstream in another failure domain,
 	// and byteShare of it for each kilobyte of the answer: bytes between failure
 	// domains are paid for.
@@ -110,7 +107,9 @@
 			}
 		}
 		load := u.load(now)
-		if load >= float64(u.slots()+queuePlaces) || now.Before(u.avoid) {
+		// Calls wait on their host, where the most urgent one goes first and each may still
+		// go elsewhere. Some upstreams never answer a request that they can't queue.
+		if load >= float64(u.slots()) || now.Before(u.avoid) {
 			full = true
 			wait = min(wait, time.Duration(state.work.mean*u.speed(now)))
 			continue
