--- a/core/htgroup/group_test.go
+++ b/core/htgroup/group_test.go
@@ -224,3 +224,27 @@
 		t.Error("a host that hears a third of the others does not take itself for cut off")
 	}
 }
+
+// Guards against a reader with a slow link: the others get the rows from it.
+func TestCapableHostsReadFirst(t *testing.T) {
+	list := groups(9, "a", "b", "c")
+	for _, g := range list {
+		for i, o := range list {
+			m := o.self
+			m.Capacity = 10
+			if i == 4 {
+				m.Capacity = 80
+			}
+			if g != o {
+				g.Heard(start, m, -1, false)
+			} else {
+				g.peers[m.Address].Capacity = m.Capacity
+			}
+		}
+	}
+	for i, g := range list {
+		if _, rank := g.Reads(start); (rank == 0) != (i == 4) {
+			t.Errorf("host %d has rank %d", i, rank)
+		}
+	}
+}
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -44,7 +44,7 @@
 	f(r.selector)
 }
 
-// Learn takes in a report of another host.
+// Learn takes in what another host told of an upstream.
 func (r *Relay) Learn(at time.Time, o htselect.Observation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/core/htselect/observation.go
+++ b/core/htselect/observation.go
@@ -19,7 +19,8 @@
 	Ill      bool          // its health path reports a failure
 }
 
-// Differs reports whether o changes a choice that was made by p.
+// Differs reports whether o changes a choice that was made by p, so that calls under way
+// are to look again.
 func (o Observation) Differs(p Observation) bool {
 	switch {
 	case o.Down != p.Down, o.Ill != p.Ill, (o.Cold > 0) != (p.Cold > 0):
@@ -31,8 +32,8 @@
 	return a*speedStep > b*100 || b*speedStep > a*100
 }
 
-// speedStep is the change of the speed, in percent, that other hosts are told at
-// once. Smaller ones go along with the next beat.
+// speedStep is the change of the speed, in percent, because of which calls under way look
+// for another upstream.
 const speedStep = 135
 
 // Fault is a failure that a call showed, as told to other hosts.
--- a/core/htselect/selector.go
+++ b/core/htselect/selector.go
@@ -153,7 +153,7 @@
 }
 
 // Observe takes in a report of an upstream that was valid at a time. It reports
-// whether the report changes choices.
+// whether calls under way there are to look again.
 func (s *Selector) Observe(at time.Time, o Observation) bool {
 	u := s.byRef[o.Upstream]
 	if u == nil {
