--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -177,13 +177,6 @@
 	}
 }
 
-// Pump lets waiting calls look again after news of other hosts.
-func (r *Relay) Pump() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.pumpAll()
-}
-
 // abandon takes a waiter out of its queue. It returns the choice if one was granted
 // meanwhile.
 func (r *Relay) abandon(w *waiter) *htselect.Choice {
--- a/io/htentry/hub.go
+++ b/io/htentry/hub.go
@@ -88,13 +88,6 @@
 	return m
 }
 
-// isHub reports whether this host passes on the messages of its failure domain. The
-// caller holds e.mu.
-func (e *Entry) isHub(now time.Time) bool {
-	own, _ := e.group.Hubs(now)
-	return own.Address == e.settings.Self.Address
-}
-
 // spread sends a message of this host to all others by way of the hub.
 func (e *Entry) spread(m htgossip.Message) {
 	now := e.timers.Now()
