htlog, htrelay, htentry: a line for each decision, bounds by kind, metrics as text

Cause: on-call engineers had one line a call, so a failed send, a wait, a retry that the budget denied, or an upstream that came back left no trace; one bound for all lines let frequent ones push out rare ones; metrics were JSON without service, failure domain or reason.

Now the relay tells each step of a call as a Decision, and each change of an upstream's state; refusals tell what kept each upstream of the service from taking the call.

Ruled out: buffering the lines of a call until it fails. A killed host would take the lines of exactly the calls that it lost with it.

Tried and taken back: counting calls of a fresh report in full, so that a full upstream gets none. A short queue at an upstream costs less than the gap until a host hears of a free slot.

--- a/cmd/hawthornturn-entry/main.go
+++ b/cmd/hawthornturn-entry/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -28,11 +29,12 @@
 
 func newCommand() *cli.Command {
 	settings := &cli.StringFlag{Name: "settings", Value: htadapter.SettingsPath(), Usage: "settings `FILE` in the platform's format"}
+	metricsPort := &cli.Uint16Flag{Name: "metrics-port", Usage: "also serve metrics on this `PORT` of the host's address; 0: only on the port for other hosts"}
 	return &cli.Command{
 		Name:  "hawthornturn-entry",
 		Usage: "entry host of hawthornturn on the users' platform",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM, then make a planned stop", Flags: []cli.Flag{settings}, Action: serve},
+			{Name: "serve", Usage: "serve until SIGTERM, then make a planned stop", Flags: []cli.Flag{settings, metricsPort}, Action: serve},
 			{Name: "validate", Usage: "check the settings and print what is wrong", Flags: []cli.Flag{settings}, Action: validate},
 		},
 	}
@@ -41,8 +43,7 @@
 func serve(ctx context.Context, c *cli.Command) error {
 	output := htlog.New(os.Stdout)
 	defer output.Close()
-	logrus.SetOutput(output)
-	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	output.Install(logrus.StandardLogger())
 	// net/http writes lines of its own, as on an answer that nobody asked for.
 	library := logrus.WithField("event", "http-library").WriterLevel(logrus.WarnLevel)
 	defer func() { _ = library.Close() }()
@@ -56,8 +57,12 @@
 	if err != nil {
 		return err
 	}
+	output.SetHost(settings.Entry.Self.Name)
+	if port := c.Uint16("metrics-port"); port != 0 {
+		settings.Entry.Metrics = netip.AddrPortFrom(settings.Entry.Self.Address.Addr(), port).String()
+	}
 	go reload(ctx, path, hangups)
-	return htadapter.Run(ctx, settings)
+	return htadapter.Run(ctx, settings, output)
 }
 
 // reload checks the settings again on SIGHUP. Addresses and bounds of a running process
--- a/core/htrelay/call.go
+++ b/core/htrelay/call.go
@@ -8,6 +8,7 @@
 
 	"hawthornturn/core/htcall"
 	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htselect"
 )
 
 // Call is a request of a caller. Its body is held in memory.
@@ -50,6 +51,7 @@
 type Trace struct {
 	Service  string
 	Upstream string
+	Domain   string // of the upstream
 	Sends    int
 	Hedges   int
 	Waited   time.Duration
@@ -57,7 +59,13 @@
 	Load     float64
 	Age      time.Duration
 	Expected time.Duration
-	Detail   string
+
+	// Census and Ahead are told of refused calls: what kept the upstreams from taking the
+	// call, and the calls that waited before it.
+	Census htselect.Census
+	Ahead  int
+	// Fingerprint is told of calls that were broken or quarantined.
+	Fingerprint string
 }
 
 func refusal(reason htcall.Reason, after time.Duration) *Answer {
--- a/core/htrelay/crash.go
+++ b/core/htrelay/crash.go
@@ -62,8 +62,10 @@
 	c.suspects = append(c.suspects, suspect{fingerprint, ref, now})
 }
 
-// down counts a crash for each request whose connection to the upstream just broke.
-func (c *crashes) down(now time.Time, ref htcatalog.Ref) {
+// down counts a crash for each request whose connection to the upstream just broke, and
+// returns them.
+func (c *crashes) down(now time.Time, ref htcatalog.Ref) []htroute.CrashCount {
+	var counted []htroute.CrashCount
 	kept := c.suspects[:0]
 	for _, s := range c.suspects {
 		switch {
@@ -71,10 +73,12 @@
 		case s.upstream != ref:
 			kept = append(kept, s)
 		case now.Sub(c.quarantine.Last(name(s.fingerprint), name(ref))) > crashConfirm:
-			c.news = append(c.news, c.quarantine.Crashed(now, name(s.fingerprint), name(ref)))
+			counted = append(counted, c.quarantine.Crashed(now, name(s.fingerprint), name(ref)))
 		}
 	}
 	c.suspects = kept
+	c.news = append(c.news, counted...)
+	return counted
 }
 
 // recent returns the newest crashes that this host saw. All that is known would outgrow a
--- /dev/null
+++ b/core/htrelay/decision.go
@@ -0,0 +1,74 @@
+package htrelay
+
+import (
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htselect"
+)
+
+// Decision is a step on the way of a call, with the inputs that decided it: Sending,
+// Waiting, Failing or Staying.
+type Decision interface{ decision() }
+
+// Sending means that the call is sent to an upstream.
+type Sending struct {
+	Choice *htselect.Choice
+	Cause  Cause
+	Number int // of the send, from 1
+	Left   time.Duration
+}
+
+// Waiting means that the call waits on this host because no upstream is good enough.
+type Waiting struct {
+	Choice *htselect.Choice // the best one, or nil
+	Reason htcall.Reason    // why there is none
+	Ahead  int              // calls that wait before it
+	Left   time.Duration
+	Census htselect.Census
+}
+
+// Failing means that a send brought no answer that can be passed on.
+type Failing struct {
+	Choice *htselect.Choice
+	Reply  Reply
+	Took   time.Duration
+}
+
+// Staying means that a call was not sent once more.
+type Staying struct {
+	Service string
+	Cause   Cause
+	Because string
+	Left    time.Duration
+}
+
+func (Sending) decision() {}
+func (Waiting) decision() {}
+func (Failing) decision() {}
+func (Staying) decision() {}
+
+// Cause says why a call is sent.
+type Cause string
+
+// Causes of sends.
+const (
+	CauseFirst   Cause = "first"
+	CauseUnsent  Cause = "unsent"  // no byte left this host, so the retry budget is not touched
+	CauseFailed  Cause = "failed"  // an earlier send failed
+	CauseRefused Cause = "refused" // an upstream refused it unstarted
+	CauseHedge   Cause = "hedge"   // an earlier send is under way and takes too long
+	CauseSlow    Cause = "slow"    // the upstream of an earlier send has become slow
+	CauseDown    Cause = "down"    // the upstream of an earlier send has gone down
+)
+
+// beside reports whether an earlier send is under way.
+func (c Cause) beside() bool { return c == CauseHedge || c == CauseSlow || c == CauseDown }
+
+// Why a call was not sent once more.
+const (
+	stayAttempts = "attempts-used"
+	stayTime     = "too-little-time"
+	stayBudget   = "budget-spent"
+	stayUpstream = "no-upstream"
+)
--- /dev/null
+++ b/core/htrelay/decision_test.go
@@ -0,0 +1,127 @@
+package htrelay
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htselect"
+)
+
+// Guards against steps of a call that the log does not tell, so that nobody can say
+// afterwards why it failed.
+func TestDecisionsAreTold(t *testing.T) {
+	full := htselect.Observation{Speed: 100, Slots: 2, Running: 2}
+	tests := []struct {
+		name       string
+		idempotent bool
+		says       htselect.Observation // all upstreams; zero: idle
+		reactions  []reaction
+		steps      []string
+	}{
+		{"answered", true, htselect.Observation{}, []reaction{after(50, ok)}, []string{"send first"}},
+		{
+			"failed, then answered", true,
+			htselect.Observation{},
+			[]reaction{after(50, failed), after(50, ok)},
+			[]string{"send first", "htrelay.Answered", "send failed"},
+		},
+		{
+			"refused, then answered", false,
+			htselect.Observation{},
+			[]reaction{after(5, notRun), after(50, ok)},
+			[]string{"send first", "htrelay.Refused", "send refused"},
+		},
+		{
+			"no connection, then answered", false,
+			htselect.Observation{},
+			[]reaction{after(5, unsent), after(50, ok)},
+			[]string{"send first", "htrelay.NotSent", "send unsent"},
+		},
+		{
+			"reset, may not run twice", false,
+			htselect.Observation{},
+			[]reaction{after(50, reset)},
+			[]string{"send first", "htrelay.Broken", "stay " + stayAttempts},
+		},
+		{
+			"silent, then hedged", true,
+			htselect.Observation{},
+			[]reaction{silence, after(50, ok)},
+			[]string{"send first", "send hedge", "htrelay.Broken"},
+		},
+		{"all full", true, full, []reaction{after(50, ok)}, []string{"wait queue-full"}},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(tt.idempotent, tt.reactions...)
+			if tt.says.Slots > 0 {
+				for _, id := range []string{"u0", "u1", "u2"} {
+					w.prober.set(id, tt.says)
+				}
+			}
+			w.serve(t.Context())
+			time.Sleep(time.Second)
+			if steps := w.events.steps(); !slices.Equal(steps, tt.steps) {
+				t.Errorf("%s: told %q, want %q", tt.name, steps, tt.steps)
+			}
+		})
+	}
+}
+
+// Guards against refusals that don't say what kept the upstreams from taking the call.
+func TestRefusalTellsTheStateOfTheUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(true, after(50, ok))
+		w.prober.set("u0", htselect.Observation{Down: true})
+		w.prober.set("u1", htselect.Observation{Speed: 100, Slots: 2, Running: 2})
+		w.prober.set("u2", htselect.Observation{Speed: 100, Slots: 2, Running: 2})
+		answer := w.serve(t.Context())
+		// A report counts for less from the moment on at which it was made, so a full
+		// upstream soon counts as busy only.
+		want := htselect.Census{Upstreams: 3, Down: 1, Busy: 2}
+		if got := answer.Trace.Census; answer.Outcome != htcall.NotRun || got != want {
+			t.Errorf("outcome %s, upstreams %+v, want %+v", answer.Outcome, got, want)
+		}
+	})
+}
+
+// Guards against an upstream whose loss and return, or cold start, the log does not tell.
+func TestChangesOfUpstreamsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(true, after(50, ok))
+		ref := htcatalog.RefOf("u0")
+		for _, o := range []htselect.Observation{
+			{Speed: 100, Slots: 2},
+			{Down: true},
+			{Down: true},
+			{Speed: 90, Slots: 2, Cold: time.Second, ColdTold: true},
+			{Speed: 100, Slots: 2, ColdTold: true},
+			{Speed: 100, Slots: 2, Ill: true, ColdTold: true},
+		} {
+			o.Upstream = ref
+			w.relay.Learn(time.Now(), o)
+		}
+		want := []string{"u0 usable-down", "u0 down-cold", "u0 cold-usable", "u0 usable-ill"}
+		if !slices.Equal(w.events.changes, want) {
+			t.Errorf("told %q, want %q", w.events.changes, want)
+		}
+	})
+}
+
+// Guards against an unknown outcome whose line does not name the request of later crash
+// counts.
+func TestBrokenCallTellsItsFingerprint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(false, after(50, Broken{Err: errors.New("reset"), Reset: true}))
+		answer := w.serve(t.Context())
+		if answer.Status != http.StatusBadGateway || answer.Trace.Fingerprint == "" {
+			t.Errorf("status %d, fingerprint %q", answer.Status, answer.Trace.Fingerprint)
+		}
+	})
+}
--- a/core/htrelay/port.go
+++ b/core/htrelay/port.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htroute"
 	"hawthornturn/core/htselect"
 )
 
@@ -64,11 +65,18 @@
 	Probe(ctx context.Context, to htcatalog.Upstream, healthPath string) (htselect.Observation, error)
 }
 
-// Events is told what this host saw. The methods must not block.
+// Events is told what this host saw and decided. The methods must not block.
 type Events interface {
 	// UpstreamDown is told of an upstream that stopped answering. Gone says that this
 	// holds for all hosts.
 	UpstreamDown(u htcatalog.Upstream, err error, gone bool)
+	// UpstreamChanged is told of an upstream that has become usable, cold, ill or down, or
+	// no longer is.
+	UpstreamChanged(u htcatalog.Upstream, before, after htselect.Observation)
 	// Faulty is told of a failure that other hosts should know.
-	Faulty(f htselect.Fault)
+	Faulty(u htcatalog.Upstream, f htselect.Fault)
+	// Crashed is told of a crash that a request has caused.
+	Crashed(c htroute.CrashCount)
+	// Decided is told of each step on the way of a call.
+	Decided(call *Call, d Decision)
 }
--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -25,6 +25,7 @@
 	since   time.Time
 	until   time.Time // from then on it does not wait for a better upstream; zero: not known yet
 	granted chan *htselect.Choice
+	entry   Waiting // why it waits
 }
 
 // queue holds the waiters of a service, the most urgent first, then by arrival. It answers
@@ -97,8 +98,11 @@
 		}
 	}
 	w := &waiter{run: of, since: now, granted: make(chan *htselect.Choice, 1)}
+	w.entry = Waiting{Choice: choice, Ahead: ahead, Left: left, Census: r.selector.Census(now, of.service, of.tried)}
 	if choice != nil {
 		w.until = now.Add(choice.Patience(route.Target))
+	} else {
+		w.entry.Reason = refused.Reason
 	}
 	q.add(w)
 	return nil, w, nil
@@ -219,3 +223,14 @@
 	defer r.mu.Unlock()
 	return htselect.Bounded(r.selector.Wait(r.now(), of.call.Route, of.service, len(r.queues[of.service].waiters)))
 }
+
+// Waiting returns the number of waiting calls by service.
+func (r *Relay) Waiting() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waiting := make(map[string]int, len(r.queues))
+	for service, q := range r.queues {
+		waiting[service] = len(q.waiters)
+	}
+	return waiting
+}
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -54,9 +54,16 @@
 // observe takes in a report and lets the calls at the upstream look again if it has
 // become slower or is down. The caller holds r.mu.
 func (r *Relay) observe(at time.Time, o htselect.Observation) {
+	before, _ := r.selector.Report(o.Upstream)
 	differs := r.selector.Observe(at, o)
+	after, _ := r.selector.Report(o.Upstream)
+	if u, known := r.selector.Upstream(o.Upstream); known && after.State() != before.State() {
+		r.events.UpstreamChanged(u, before, after)
+	}
 	if o.Down {
-		r.crashes.down(at, o.Upstream)
+		for _, c := range r.crashes.down(at, o.Upstream) {
+			r.events.Crashed(c)
+		}
 	}
 	if differs {
 		for call := range r.active[o.Upstream] {
@@ -95,10 +102,28 @@
 	}
 	r.mu.Unlock()
 	if blocked {
-		return refusal(htcall.ReasonQuarantined, crashWindow)
+		answer := refusal(htcall.ReasonQuarantined, crashWindow)
+		answer.Trace.Fingerprint = name(call.fingerprint())
+		return answer
 	}
 	run := newRun(r, call, service)
 	answer := run.serve(ctx)
 	answer.Trace.Service = service
+	switch answer.Outcome {
+	case htcall.NotRun:
+		r.explain(run, &answer.Trace)
+	case htcall.Unknown:
+		answer.Trace.Fingerprint = name(call.fingerprint())
+	}
 	return answer
 }
+
+// explain notes what kept the upstreams of a refused call from taking it.
+func (r *Relay) explain(of *run, t *Trace) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.Census = r.selector.Census(r.now(), of.service, of.tried)
+	if q := r.queues[of.service]; q != nil {
+		t.Ahead = q.ahead(of.call.Route.Priority)
+	}
+}
--- a/core/htrelay/relay_test.go
+++ b/core/htrelay/relay_test.go
@@ -14,6 +14,7 @@
 
 	"hawthornturn/core/htcall"
 	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htroute"
 	"hawthornturn/core/htselect"
 )
 
@@ -122,9 +123,12 @@
 
 // events counts what other hosts would be told.
 type events struct {
-	mu     sync.Mutex
-	faults int
-	gone   int
+	mu        sync.Mutex
+	faults    int
+	gone      int
+	crashes   int
+	changes   []string // states of upstreams, before and after
+	decisions []Decision
 }
 
 // UpstreamDown implements Events.
@@ -137,12 +141,53 @@
 }
 
 // Faulty implements Events.
-func (e *events) Faulty(htselect.Fault) {
+func (e *events) Faulty(htcatalog.Upstream, htselect.Fault) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults++
 }
 
+// UpstreamChanged implements Events.
+func (e *events) UpstreamChanged(u htcatalog.Upstream, before, after htselect.Observation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.changes = append(e.changes, u.ID+" "+before.State()+"-"+after.State())
+}
+
+// Crashed implements Events.
+func (e *events) Crashed(htroute.CrashCount) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes++
+}
+
+// Decided implements Events.
+func (e *events) Decided(_ *Call, d Decision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.decisions = append(e.decisions, d)
+}
+
+// steps names the decisions in order.
+func (e *events) steps() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var steps []string
+	for _, d := range e.decisions {
+		switch d := d.(type) {
+		case Sending:
+			steps = append(steps, "send "+string(d.Cause))
+		case Waiting:
+			steps = append(steps, "wait "+string(d.Reason))
+		case Failing:
+			steps = append(steps, fmt.Sprintf("%T", d.Reply))
+		case Staying:
+			steps = append(steps, "stay "+d.Because)
+		}
+	}
+	return steps
+}
+
 var (
 	ok      = Answered{Status: http.StatusOK, Body: []byte("whole"), Work: 50 * time.Millisecond}
 	failed  = Answered{Status: http.StatusInternalServerError}
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -76,7 +76,7 @@
 			}
 		case <-hedge.C:
 			r.relay.ask(sendCtx, r.call, r.service, r.tried)
-			r.hedge(sendCtx)
+			r.hedge(sendCtx, CauseHedge)
 		case <-watch.C:
 			if r.call.Route.Idempotent && r.open == 1 {
 				r.relay.watch(sendCtx, r)
@@ -122,16 +122,17 @@
 	case refused != nil:
 		return r.refused(refused)
 	case choice != nil:
-		r.start(sendCtx, choice)
+		r.start(sendCtx, choice, CauseFirst)
 		return nil
 	}
+	r.decided(w.entry)
 	look := time.NewTicker(lookPeriod)
 	defer look.Stop()
 	for {
 		select {
 		case choice := <-w.granted:
 			r.waited = r.relay.now().Sub(w.since)
-			r.start(sendCtx, choice)
+			r.start(sendCtx, choice, CauseFirst)
 			return nil
 		case <-ctx.Done():
 			r.giveBack(r.relay.abandon(w))
@@ -157,7 +158,7 @@
 }
 
 // send chooses an upstream and sends the call there.
-func (r *run) send(ctx context.Context) *htselect.Refused {
+func (r *run) send(ctx context.Context, cause Cause) *htselect.Refused {
 	now := r.relay.now()
 	r.relay.mu.Lock()
 	choice, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
@@ -168,24 +169,35 @@
 	if refused != nil {
 		return refused
 	}
-	r.start(ctx, choice)
+	r.start(ctx, choice, cause)
 	return nil
 }
 
 // start sends the call to a chosen upstream in the background.
-func (r *run) start(ctx context.Context, choice *htselect.Choice) {
+func (r *run) start(ctx context.Context, choice *htselect.Choice, cause Cause) {
 	r.tried = append(r.tried, choice.Upstream.ID)
 	r.open++
 	r.sends++
 	r.last = choice
 	r.sent = r.relay.now()
+	r.decided(Sending{Choice: choice, Cause: cause, Number: r.sends, Left: r.call.Deadline.Sub(r.sent)})
 	go func() {
+		start := r.relay.now()
 		reply := r.relay.sender.Send(ctx, choice.Upstream, r.call.Deadline, r.call)
+		if unusable(reply) {
+			r.decided(Failing{Choice: choice, Reply: reply, Took: r.relay.now().Sub(start)})
+		}
 		r.relay.settle(ctx, r, choice, reply)
 		r.results <- result{choice, reply}
 	}()
 }
 
+// unusable reports whether a reply is no answer that can be passed on at once.
+func unusable(reply Reply) bool {
+	answered, ok := reply.(Answered)
+	return !ok || answered.Status >= http.StatusInternalServerError
+}
+
 // take handles the result of one send. It returns the answer if the call is over.
 func (r *run) take(ctx context.Context, res result) *Answer {
 	r.open--
@@ -198,24 +210,24 @@
 			return answer
 		}
 		r.failed = answer
-		if r.again(ctx, retryAfterFailure) || r.open > 0 {
+		if r.again(ctx, CauseFailed) || r.open > 0 {
 			return nil
 		}
 		return answer
 	case Refused:
-		if r.again(ctx, retryAfterFailure) || r.open > 0 {
+		if r.again(ctx, CauseRefused) || r.open > 0 {
 			return nil
 		}
 		return r.over(htcall.ReasonRefused)
 	case NotSent:
-		if r.again(ctx, retryUnsent) || r.open > 0 {
+		if r.again(ctx, CauseUnsent) || r.open > 0 {
 			return nil
 		}
 		return r.over(htcall.ReasonConnect)
 	case Broken:
 		r.ran++
 		r.broken = true
-		if r.again(ctx, retryAfterFailure) || r.open > 0 {
+		if r.again(ctx, CauseFailed) || r.open > 0 {
 			return nil
 		}
 		return r.over(htcall.ReasonBroken)
@@ -223,45 +235,46 @@
 	return undecided(htcall.ReasonInternal)
 }
 
-// cause says why a call is sent once more.
-type cause int
-
-const (
-	retryUnsent       cause = iota // no byte left this host, so the retry budget is not touched
-	retryAfterFailure              // an earlier send failed or was refused
-	retryHedge                     // an earlier send is under way
-)
-
 // again sends the call once more if that is allowed and may help.
-func (r *run) again(ctx context.Context, why cause) bool {
-	if !r.mayRepeat() || r.sends >= maxSends {
-		return false
-	}
+func (r *run) again(ctx context.Context, cause Cause) bool {
 	now := r.relay.now()
 	left := r.call.Deadline.Sub(now)
-	if r.last != nil && float64(left) < minRetryShare*float64(r.last.Work) {
-		return false
-	}
-	if !r.maySpend(now, why) {
-		return false
+	stay := ""
+	switch {
+	case !r.mayRepeat() || r.sends >= maxSends:
+		stay = stayAttempts
+	case r.last != nil && float64(left) < minRetryShare*float64(r.last.Work):
+		stay = stayTime
+	case !r.maySpend(now, cause):
+		stay = stayBudget
 	}
-	if why != retryHedge { // a hedge is decided by what others have just said
-		r.relay.ask(ctx, r.call, r.service, r.tried)
+	if stay == "" {
+		if !cause.beside() { // otherwise it is decided by what others have just said
+			r.relay.ask(ctx, r.call, r.service, r.tried)
+		}
+		if r.send(ctx, cause) == nil {
+			return true
+		}
+		stay = stayUpstream
 	}
-	return r.send(ctx) == nil
+	r.decided(Staying{Service: r.service, Cause: cause, Because: stay, Left: left})
+	return false
 }
 
+// decided tells of a decision.
+func (r *run) decided(d Decision) { r.relay.events.Decided(r.call, d) }
+
 // maySpend takes the token of one more send, if it needs one.
-func (r *run) maySpend(now time.Time, why cause) bool {
+func (r *run) maySpend(now time.Time, cause Cause) bool {
 	r.relay.mu.Lock()
 	defer r.relay.mu.Unlock()
-	switch why {
-	case retryAfterFailure:
-		return r.relay.selector.Retry(now, r.service)
-	case retryHedge:
+	switch {
+	case cause == CauseUnsent:
+		return true
+	case cause.beside():
 		return r.relay.selector.Hedge(now, r.service)
 	}
-	return true
+	return r.relay.selector.Retry(now, r.service)
 }
 
 // mayRepeat reports whether one more upstream may run the call.
@@ -290,8 +303,8 @@
 	return max(watchFloor, time.Duration(watchShare*float64(r.last.Expected)))
 }
 
-// hedge sends to a second upstream.
-func (r *run) hedge(ctx context.Context) {
+// hedge sends to a second upstream that is good.
+func (r *run) hedge(ctx context.Context, cause Cause) {
 	if r.open != 1 {
 		return
 	}
@@ -300,7 +313,7 @@
 	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
 	r.relay.mu.Unlock()
 	// A second send must not take the place of a call that was not sent at all.
-	if refused == nil && other.Good() && r.again(ctx, retryHedge) {
+	if refused == nil && other.Good() && r.again(ctx, cause) {
 		r.hedges++
 	}
 }
@@ -333,8 +346,12 @@
 	r.relay.mu.Lock()
 	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
 	r.relay.mu.Unlock()
-	if refused == nil && (down || float64(other.Expected) < gainShare*float64(remaining)) {
-		r.hedge(ctx)
+	switch {
+	case refused != nil:
+	case down:
+		r.hedge(ctx, CauseDown)
+	case float64(other.Expected) < gainShare*float64(remaining):
+		r.hedge(ctx, CauseSlow)
 	}
 }
 
@@ -380,6 +397,7 @@
 	a.Trace.Waited = r.waited
 	if c := r.last; c != nil {
 		a.Trace.Upstream = c.Upstream.ID
+		a.Trace.Domain = c.Upstream.Domain
 		a.Trace.Speed = c.Speed
 		a.Trace.Load = c.Load
 		a.Trace.Age = c.Age
--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -60,7 +60,7 @@
 	r.pump(of.service)
 	r.mu.Unlock()
 	if fault.Weight > 0 {
-		r.events.Faulty(fault)
+		r.events.Faulty(c.Upstream, fault)
 	}
 }
 
--- a/core/htselect/cold.go
+++ b/core/htselect/cold.go
@@ -16,8 +16,7 @@
 // coldNext returns how long this host has to wait before it may send to a cold
 // upstream; zero means now.
 func (s *Selector) coldNext(now time.Time, u *upstream, sv htcatalog.Service) time.Duration {
-	senders := max(int(sv.ColdPerSecond), 1)
-	if s.group.RankAll(xxhash.Sum64String(u.declared.ID)) >= senders {
+	if s.group.RankAll(xxhash.Sum64String(u.declared.ID)) >= coldSenders(sv) {
 		return u.coldUntil.Sub(now)
 	}
 	if u.coldSent.IsZero() {
@@ -25,3 +24,6 @@
 	}
 	return max(0, u.coldSent.Add(coldInterval).Sub(now))
 }
+
+// coldSenders returns the number of hosts that may send to a cold upstream of a service.
+func coldSenders(sv htcatalog.Service) int { return max(int(sv.ColdPerSecond), 1) }
--- a/core/htselect/observation.go
+++ b/core/htselect/observation.go
@@ -19,6 +19,19 @@
 	Ill      bool          // its health path reports a failure
 }
 
+// State names what the observation says of whether the upstream can be used.
+func (o Observation) State() string {
+	switch {
+	case o.Down:
+		return "down"
+	case o.Cold > 0:
+		return "cold"
+	case o.Ill:
+		return "ill"
+	}
+	return "usable"
+}
+
 // Differs reports whether o changes a choice that was made by p, so that calls under way
 // are to look again.
 func (o Observation) Differs(p Observation) bool {
--- a/core/htselect/selector.go
+++ b/core/htselect/selector.go
@@ -179,3 +179,12 @@
 	}
 	return u.report, u.seen
 }
+
+// Upstream returns the declaration of an upstream.
+func (s *Selector) Upstream(ref htcatalog.Ref) (htcatalog.Upstream, bool) {
+	u := s.byRef[ref]
+	if u == nil {
+		return htcatalog.Upstream{}, false
+	}
+	return u.declared, true
+}
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -184,7 +184,11 @@
 	}
 	e.relay.Do(func(s *htselect.Selector) {
 		for _, f := range m.Faults {
-			s.Faulty(now, htselect.Fault{Upstream: f.Upstream, Weight: float64(f.Percent) / 100})
+			fault := htselect.Fault{Upstream: f.Upstream, Weight: float64(f.Percent) / 100}
+			s.Faulty(now, fault)
+			if u, known := s.Upstream(f.Upstream); known {
+				logFault(u, fault.Weight, htgossip.AddressOf(m.Origin).String())
+			}
 		}
 	})
 	if len(m.Crashes) > 0 {
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -31,6 +31,7 @@
 	Callers   string           // address for callers
 	Balancer  string           // address for the platform's balancer
 	ReadyPath string
+	Metrics   string // address for metrics besides the one for other hosts; may be empty
 	Limits    htselect.Limits
 	Grace     time.Duration // from SIGTERM until the process is killed
 }
@@ -57,6 +58,8 @@
 	Handler func(*Entry) http.Handler
 	// Retain is told the addresses of all upstreams after each change.
 	Retain func(addresses map[string]bool)
+	// Log counts the lines of the log; it may be nil.
+	Log LogCounts
 }
 
 // Entry is one entry host.
@@ -78,9 +81,11 @@
 
 	catalog  atomic.Pointer[htcatalog.Catalog]
 	stopping atomic.Bool
-	changes  chan change
-	behind   chan netip.AddrPort
-	bundles  chan htgossip.Message
+	// toldReady is what the balancer was told last.
+	toldReady atomic.Bool
+	changes   chan change
+	behind    chan netip.AddrPort
+	bundles   chan htgossip.Message
 
 	incarnation uint32
 	sequence    atomic.Uint32
@@ -91,7 +96,7 @@
 	balancer net.Listener
 	peers    net.Listener
 	front    *http.Server
-	metrics  *metrics
+	metrics  *hostMetrics
 }
 
 // groupView gives the selector the group under the lock of the entry.
@@ -214,7 +219,7 @@
 	supervised, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	supervisor := suture.New(e.settings.Self.Name, suture.Spec{EventHook: htservice.LogEvent})
-	for name, serve := range map[string]func(context.Context) error{
+	parts := map[string]func(context.Context) error{
 		"callers":          func(c context.Context) error { return htservice.HTTP(c, e.front, e.callers) },
 		"balancer":         func(c context.Context) error { return htservice.HTTP(c, e.newBalancerSide(), e.balancer) },
 		"peers":            func(c context.Context) error { return htservice.HTTP(c, e.newPeerSide(), e.peers) },
@@ -226,7 +231,11 @@
 		"follow-announced": func(c context.Context) error { return e.follow(c, htmirror.Announced) },
 		"catch-up":         e.catchUp,
 		"directory":        e.join,
-	} {
+	}
+	if e.settings.Metrics != "" {
+		parts["metrics"] = e.exposeMetrics
+	}
+	for name, serve := range parts {
 		supervisor.Add(htservice.Service{Name: name, Run: serve})
 	}
 	ended := supervisor.ServeBackground(supervised)
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -43,6 +43,7 @@
 // follow reads a table of the store while that is this host's duty.
 func (e *Entry) follow(ctx context.Context, t htmirror.Table) error {
 	reading := false
+	duty := false
 	wait := joinWait
 	for {
 		if err := sleep(ctx, wait); err != nil {
@@ -52,7 +53,12 @@
 		e.mu.Lock()
 		reads, rank := e.group.Reads(e.timers.Now())
 		e.mu.Unlock()
-		if !reads || e.stopping.Load() {
+		reads = reads && !e.stopping.Load()
+		if reads != duty {
+			duty = reads
+			logrus.WithFields(logrus.Fields{"event": "reader-changed", "table": t, "reads": reads, "rank": rank}).Info("duty of reading the store")
+		}
+		if !reads {
 			reading = false
 			continue
 		}
--- a/io/htentry/front.go
+++ b/io/htentry/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"net/http"
 	"time"
 
@@ -36,7 +35,9 @@
 func (e *Entry) newBalancerSide() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+e.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if ok, why := e.Ready(); !ok {
+		ok, why := e.Ready()
+		e.logReady(ok, why)
+		if !ok {
 			http.Error(w, why, http.StatusServiceUnavailable)
 			return
 		}
@@ -45,15 +46,34 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
-// newPeerSide serves other hosts, and metrics and state for operators.
+// logReady writes a line when the balancer is told something else than before.
+func (e *Entry) logReady(ok bool, why string) {
+	if e.toldReady.Swap(ok) == ok {
+		return
+	}
+	logrus.WithFields(logrus.Fields{"event": "ready-changed", "ready": ok, "why": why}).Info("the balancer is told")
+}
+
+// newPeerSide serves other hosts, and operators.
 func (e *Entry) newPeerSide() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+htgossip.SyncPath, htgossip.Handler(e.rowsSince))
-	mux.Handle("GET /metrics", expvar.Handler())
-	mux.HandleFunc("GET /state", e.serveState)
+	e.addOperatorPaths(mux)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
+// newOperatorSide serves metrics and state for operators.
+func (e *Entry) newOperatorSide() *http.Server {
+	mux := http.NewServeMux()
+	e.addOperatorPaths(mux)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+func (e *Entry) addOperatorPaths(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+MetricsPath, e.serveMetrics)
+	mux.HandleFunc("GET /state", e.serveState)
+}
+
 // Stopping reports whether a planned stop is under way.
 func (e *Entry) Stopping() bool { return e.stopping.Load() }
 
@@ -70,7 +90,7 @@
 	defer cancel()
 	err := e.front.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
-		logrus.WithFields(logrus.Fields{"event": "calls-cut", "calls": e.metrics.inFlight.Value()}).Warn("the grace ended before all calls did")
+		logrus.WithFields(logrus.Fields{"event": "calls-cut", "calls": int(e.metrics.inFlight.Get())}).Warn("the grace ended before all calls did")
 		return e.front.Close()
 	}
 	return err
--- a/io/htentry/hub.go
+++ b/io/htentry/hub.go
@@ -34,20 +34,6 @@
 	fault *htselect.Fault
 }
 
-// UpstreamDown implements htrelay.Events. An upstream that only this host can't reach may
-// serve the others.
-func (e *Entry) UpstreamDown(u htcatalog.Upstream, err error, gone bool) {
-	logrus.WithFields(logrus.Fields{
-		"event": "upstream-down", "upstream": u.ID, "service": u.Service, "failure-domain": u.Domain, "gone": gone,
-	}).WithError(err).Warn("upstream does not answer")
-	if gone {
-		e.tell(change{gone: u.Ref()})
-	}
-}
-
-// Faulty implements htrelay.Events.
-func (e *Entry) Faulty(f htselect.Fault) { e.tell(change{fault: &f}) }
-
 func (e *Entry) tell(c change) {
 	select {
 	case e.changes <- c:
@@ -201,6 +187,6 @@
 	for i, p := range to {
 		addresses[i] = p.Address
 	}
-	e.metrics.datagrams.Add(int64(len(to)))
+	e.metrics.datagrams.Add(len(to))
 	e.gossip.Send(data, addresses...)
 }
--- /dev/null
+++ b/io/htentry/scrape.go
@@ -0,0 +1,98 @@
+package htentry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"hawthornturn/core/htselect"
+	"hawthornturn/io/htlog"
+	"hawthornturn/io/htservice"
+)
+
+// MetricsPath is where metrics are served.
+const MetricsPath = "/metrics"
+
+// LogCounts tells how many log lines were written and dropped.
+type LogCounts interface {
+	Counts() (written int64, dropped map[string]int64)
+}
+
+// serveMetrics writes all metrics as text.
+func (e *Entry) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	m := e.metrics
+	m.set.WritePrometheus(w)
+	for _, d := range []*distributions{m.latency, m.waits, m.ages} {
+		d.write(w)
+	}
+	e.writeServices(w)
+	e.writeHost(w)
+	if e.ports.Log != nil {
+		written, dropped := e.ports.Log.Counts()
+		_, _ = fmt.Fprintf(w, "hawthornturn_log_lines_total %d\n", written)
+		for _, kind := range slices.Sorted(maps.Keys(dropped)) {
+			_, _ = fmt.Fprintf(w, "hawthornturn_log_lines_dropped_total{kind=%q} %d\n", kind, dropped[kind])
+		}
+	}
+}
+
+// writeServices writes what this host knows of each service now.
+func (e *Entry) writeServices(w io.Writer) {
+	now := e.timers.Now()
+	var services []htselect.ServiceDump
+	e.relay.Do(func(s *htselect.Selector) { services = s.DumpServices(now) })
+	waiting := e.relay.Waiting()
+	for _, s := range services {
+		c := s.Census
+		for _, state := range []struct {
+			name  string
+			count int
+		}{
+			{"out", c.Out},
+			{"draining", c.Draining},
+			{"down", c.Down},
+			{"cold", c.Cold},
+			{"paused", c.Paused},
+			{"full", c.Full},
+			{"free", c.Free},
+		} {
+			_, _ = fmt.Fprintf(w, "hawthornturn_upstreams{service=%q,state=%q} %d\n", s.Name, state.name, state.count)
+		}
+		_, _ = fmt.Fprintf(w, "hawthornturn_calls_waiting{service=%q} %d\n", s.Name, waiting[s.Name])
+		_, _ = fmt.Fprintf(w, "hawthornturn_repeat_tokens{service=%q} %g\n", s.Name, s.RepeatTokens)
+		_, _ = fmt.Fprintf(w, "hawthornturn_cold_upstreams{service=%q} %d\n", s.Name, s.Cold)
+		_, _ = fmt.Fprintf(w, "hawthornturn_cold_sends_allowed_per_second{service=%q} %d\n", s.Name, s.ColdMayPerS)
+	}
+}
+
+// writeHost writes what this host believes of itself and of the others.
+func (e *Entry) writeHost(w io.Writer) {
+	state := e.state()
+	ready := 0
+	if ok, _ := e.Ready(); ok {
+		ready = 1
+	}
+	_, _ = fmt.Fprintf(w, "hawthornturn_ready %d\n", ready)
+	_, _ = fmt.Fprintf(w, "hawthornturn_config_version %d\n", state.Config)
+	_, _ = fmt.Fprintf(w, "hawthornturn_store_age_seconds %g\n", float64(state.StoreMS)/1000)
+	_, _ = fmt.Fprintf(w, "hawthornturn_hosts{state=\"running\"} %d\n", len(state.Running))
+	_, _ = fmt.Fprintf(w, "hawthornturn_hosts{state=\"silent\"} %d\n", len(state.Quiet))
+}
+
+// exposeMetrics serves the metrics at their own address. A host without metrics still
+// serves callers, so a failure is logged and tried again by the supervisor.
+func (e *Entry) exposeMetrics(ctx context.Context) error {
+	listener, err := net.Listen("tcp4", e.settings.Metrics)
+	if err != nil {
+		logrus.WithFields(logrus.Fields{htlog.FieldEvent: "metrics-unavailable", "address": e.settings.Metrics}).WithError(err).Warn("metrics are not served")
+		return err
+	}
+	return htservice.HTTP(ctx, e.newOperatorSide(), listener)
+}
