--- /dev/null
+++ b/cmd/hawthornturn/explain.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"hawthornturn/core/htexplain"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell from the logs of the hosts what became of a request, or where a configuration is in force",
+		ArgsUsage: "FILE...",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "request", Usage: "`ID` of the request"},
+			&cli.Int64Flag{Name: "config", Usage: "`VERSION` of the configuration"},
+		},
+		Action: explain,
+	}
+}
+
+func explain(_ context.Context, c *cli.Command) error {
+	request, version := c.String("request"), c.Int64("config")
+	if (request == "") == (version == 0) || c.Args().Len() == 0 {
+		return usagef("give --request ID or --config VERSION, and the files of the logs")
+	}
+	var sources []htexplain.Source
+	for _, name := range c.Args().Slice() {
+		sources = append(sources, htexplain.Source{Name: name, Open: func() (io.ReadCloser, error) { return os.Open(name) }})
+	}
+	if version != 0 {
+		hosts, err := htexplain.Config(sources, version)
+		if err != nil {
+			return err
+		}
+		return printConfig(c.Root().Writer, version, hosts)
+	}
+	history, err := htexplain.Request(sources, request)
+	if err != nil {
+		return err
+	}
+	return printHistory(c.Root().Writer, history)
+}
+
+func printHistory(w io.Writer, h *htexplain.History) error {
+	_, err := fmt.Fprintf(w, "request %s on host %s at %s\n", h.Request, h.Host, h.Start.Format(time.RFC3339Nano))
+	for _, part := range []struct {
+		title string
+		lines []htexplain.Line
+	}{{"steps", h.Steps}, {"around it (clocks of hosts may differ)", h.Around}} {
+		if len(part.lines) > 0 {
+			_, e := fmt.Fprintf(w, "%s\n", part.title)
+			err = errors.Join(err, e)
+		}
+		for i := range part.lines {
+			l := &part.lines[i]
+			_, e := fmt.Fprintf(w, "  %+8.3f s  %s  %s\n", l.Time.Sub(h.Start).Seconds(), l.Host, l)
+			err = errors.Join(err, e)
+		}
+	}
+	if h.More > 0 {
+		_, e := fmt.Fprintf(w, "  %d more lines, further away, are left out\n", h.More)
+		err = errors.Join(err, e)
+	}
+	_, e := fmt.Fprintf(w, "cause: %s\n", h.Cause)
+	return errors.Join(err, e)
+}
+
+func printConfig(w io.Writer, version int64, hosts []htexplain.HostConfig) error {
+	var err error
+	for _, h := range hosts {
+		text := fmt.Sprintf("not in force; newest is %d, last line at %s", h.Newest, h.Silent.Format(time.RFC3339Nano))
+		switch {
+		case !h.Applied.IsZero():
+			text = "in force since " + h.Applied.Format(time.RFC3339Nano)
+		case h.Refused != "":
+			text = fmt.Sprintf("refused, %d stays in force: %s", h.Newest, h.Refused)
+		case h.Lost:
+			text += "; the store does not serve this host"
+		}
+		_, e := fmt.Fprintf(w, "%s  configuration %d %s\n", h.Host, version, text)
+		err = errors.Join(err, e)
+	}
+	return err
+}
--- a/cmd/hawthornturn/main.go
+++ b/cmd/hawthornturn/main.go
@@ -33,6 +33,7 @@
 			watchCommand(),
 			waitCommand(),
 			dumpCommand(),
+			explainCommand(),
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Present() {
--- a/core/htrelay/port.go
+++ b/core/htrelay/port.go
@@ -73,8 +73,9 @@
 	// UpstreamChanged is told of an upstream that has become usable, cold, ill or down, or
 	// no longer is.
 	UpstreamChanged(u htcatalog.Upstream, before, after htselect.Observation)
-	// Faulty is told of a failure that other hosts should know.
-	Faulty(u htcatalog.Upstream, f htselect.Fault)
+	// Faulty is told of a failure that other hosts should know. Avoided says that the
+	// upstream counts as faulty because of it.
+	Faulty(u htcatalog.Upstream, f htselect.Fault, avoided bool)
 	// Crashed is told of a crash that a request has caused.
 	Crashed(c htroute.CrashCount)
 	// Decided is told of each step on the way of a call.
--- a/core/htrelay/relay_test.go
+++ b/core/htrelay/relay_test.go
@@ -141,7 +141,7 @@
 }
 
 // Faulty implements Events.
-func (e *events) Faulty(htcatalog.Upstream, htselect.Fault) {
+func (e *events) Faulty(htcatalog.Upstream, htselect.Fault, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults++
--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -56,11 +56,11 @@
 		report.Upstream = c.Upstream.Ref()
 		r.observe(now, *report)
 	}
-	r.selector.Faulty(now, fault)
+	faulty := r.selector.Faulty(now, fault)
 	r.pump(of.service)
 	r.mu.Unlock()
 	if fault.Weight > 0 {
-		r.events.Faulty(c.Upstream, fault)
+		r.events.Faulty(c.Upstream, fault, faulty)
 	}
 }
 
--- a/core/htselect/ask.go
+++ b/core/htselect/ask.go
@@ -155,5 +155,5 @@
 	if u == nil || !u.fresh(now) || u.report.Down || u.report.Ill || u.cold(now) || u.declared.Domain != s.domain {
 		return false
 	}
-	return u.speed(now) <= goodFactor && !u.crowded(u.load(now)) && u.fault(now) < 1
+	return u.speed(now) <= goodFactor && !u.crowded(u.load(now)) && u.fault(now) < avoidFault
 }
--- a/core/htselect/selector.go
+++ b/core/htselect/selector.go
@@ -164,11 +164,20 @@
 	return differs
 }
 
-// Faulty counts a failure that this or another host saw.
-func (s *Selector) Faulty(now time.Time, f Fault) {
-	if u := s.byRef[f.Upstream]; u != nil && f.Weight > 0 && f.Weight <= FaultError {
-		u.addFault(now, f.Weight)
+// avoidFault is the sum of recent faults from which an upstream counts as faulty. One
+// failed call may be a coincidence.
+const avoidFault = 1.0
+
+// Faulty counts a failure that this or another host saw. It reports whether the upstream
+// counts as faulty from now on.
+func (s *Selector) Faulty(now time.Time, f Fault) bool {
+	u := s.byRef[f.Upstream]
+	if u == nil || f.Weight <= 0 || f.Weight > FaultError {
+		return false
 	}
+	before := u.fault(now)
+	u.addFault(now, f.Weight)
+	return before < avoidFault && u.faults >= avoidFault
 }
 
 // Report returns the newest report of an upstream and the time at which it was valid.
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -185,9 +185,8 @@
 	e.relay.Do(func(s *htselect.Selector) {
 		for _, f := range m.Faults {
 			fault := htselect.Fault{Upstream: f.Upstream, Weight: float64(f.Percent) / 100}
-			s.Faulty(now, fault)
-			if u, known := s.Upstream(f.Upstream); known {
-				logFault(u, fault.Weight, htgossip.AddressOf(m.Origin).String())
+			if u, known := s.Upstream(f.Upstream); s.Faulty(now, fault) && known {
+				logFault(u, htgossip.AddressOf(m.Origin).String())
 			}
 		}
 	})
--- a/io/htentry/decide.go
+++ b/io/htentry/decide.go
@@ -114,15 +114,17 @@
 }
 
 // Faulty implements htrelay.Events.
-func (e *Entry) Faulty(u htcatalog.Upstream, f htselect.Fault) {
-	logFault(u, f.Weight, e.settings.Self.Name)
+func (e *Entry) Faulty(u htcatalog.Upstream, f htselect.Fault, avoided bool) {
+	if avoided {
+		logFault(u, e.settings.Self.Name)
+	}
 	e.tell(change{fault: &f})
 }
 
-// logFault writes the line of a fault that a host saw.
-func logFault(u htcatalog.Upstream, weight float64, seenBy string) {
+// logFault writes the line of an upstream that counts as faulty from now on.
+func logFault(u htcatalog.Upstream, seenBy string) {
 	logrus.WithFields(logrus.Fields{
-		htlog.FieldEvent: "upstream-fault", "upstream": u.ID, "service": u.Service, "weight": weight, "seen-by": seenBy,
+		htlog.FieldEvent: "upstream-fault", "upstream": u.ID, "service": u.Service, "seen-by": seenBy,
 	}).Info("upstream is avoided for some seconds")
 }
 
--- /dev/null
+++ b/io/htentry/metrics_test.go
@@ -0,0 +1,85 @@
+package htentry
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"hawthornturn/core/htcall"
+	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htrelay"
+	"hawthornturn/core/htselect"
+)
+
+// text returns the metrics as they are served, without what depends on a running host.
+func (m *hostMetrics) text() string {
+	var b strings.Builder
+	m.set.WritePrometheus(&b)
+	for _, d := range []*distributions{m.latency, m.waits, m.ages} {
+		d.write(&b)
+	}
+	return b.String()
+}
+
+// Guards against calls that are counted under wrong labels, and against lines that a
+// collector of metrics can't read.
+func TestMetricsText(t *testing.T) {
+	m := newMetrics()
+	done := &htrelay.Answer{Outcome: htcall.Done, Status: 200, Trace: htrelay.Trace{Service: "s", Domain: "a", Waited: 30 * time.Millisecond}}
+	for range 99 {
+		m.ended(&Record{Answer: done, Took: 50 * time.Millisecond})
+	}
+	m.ended(&Record{Answer: done, Took: 900 * time.Millisecond})
+	m.ended(&Record{Answer: &htrelay.Answer{Outcome: htcall.NotRun, Reason: htcall.ReasonQueueFull}, Took: 2 * longestTime})
+	choice := &htselect.Choice{Upstream: htcatalog.Upstream{Service: "s"}, Age: 5 * time.Millisecond}
+	m.sent(htrelay.Sending{Choice: choice, Cause: htrelay.CauseFirst})
+	m.sent(htrelay.Sending{Choice: &htselect.Choice{Age: -1}, Cause: htrelay.CauseHedge})
+	m.stayed(htrelay.Staying{Service: "s", Cause: htrelay.CauseFailed, Because: "budget-spent"})
+	text := m.text()
+	for _, want := range []string{
+		`hawthornturn_calls_total{service="s",domain="a",outcome="done",reason="none"} 100`,
+		`hawthornturn_calls_total{service="",domain="",outcome="not-run",reason="queue-full"} 1`,
+		`hawthornturn_call_seconds_count{service="s",outcome="done"} 100`,
+		`hawthornturn_call_seconds_sum{service="s",outcome="done"} 5.85`,
+		`hawthornturn_wait_seconds_count{service="s",outcome="done"} 100`,
+		`hawthornturn_choice_age_seconds_count{service="s",outcome="sent"} 1`,
+		`hawthornturn_choices_without_report_total 1`,
+		`hawthornturn_sends_total{service="s",cause="first",cold="false"} 1`,
+		`hawthornturn_not_sent_again_total{service="s",cause="failed",because="budget-spent"} 1`,
+	} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("%s is missing", want)
+		}
+	}
+	// The histogram keeps two digits.
+	if !regexp.MustCompile(`hawthornturn_call_seconds\{service="s",outcome="done",quantile="0.5"\} 0\.050\d*\n`).MatchString(text) {
+		t.Error("the median of the calls is wrong")
+	}
+	line := regexp.MustCompile(`^[a-z_]+(\{([a-z]+="[^"]*",?)+\})? -?[0-9.e+-]+$`)
+	for _, l := range strings.Split(strings.TrimSpace(text), "\n") {
+		if !line.MatchString(l) {
+			t.Errorf("line %q can't be read", l)
+		}
+	}
+}
+
+// Guards against metrics whose memory grows with the number of declared services.
+func TestMetricsAreBounded(t *testing.T) {
+	m := newMetrics()
+	for i := range 3 * maxSeries {
+		service := fmt.Sprintf("s%d", i)
+		m.ended(&Record{Answer: &htrelay.Answer{Outcome: htcall.Done, Trace: htrelay.Trace{Service: service}}, Took: time.Millisecond})
+	}
+	text := m.text()
+	if n := strings.Count(text, "hawthornturn_calls_total"); n > maxSeries+1 {
+		t.Errorf("%d counters, the bound is %d", n, maxSeries)
+	}
+	if n := strings.Count(text, "hawthornturn_call_seconds_count"); n > maxDistributions+1 {
+		t.Errorf("%d histograms, the bound is %d", n, maxDistributions)
+	}
+	if !strings.Contains(text, fmt.Sprintf(`hawthornturn_calls_total{service=%q,domain="",outcome="done",reason="none"} %d`, otherService, 2*maxSeries)) {
+		t.Error("the calls of other services are not counted together")
+	}
+}
