htrelay, htselect: in overload late calls leave upstreams to those that can be on time

The log shows calls that waited past their target and then took an upstream, and 627 refusals in two seconds whose callers come back and are served as if they were new, although their answer is late anyway. Hosts don't know of each other's waiting calls, so each such call takes the place of one elsewhere that could be on time.

Now a call that can't be on time waits while more than half of the recent calls of its service had to wait, and a caller that comes back is known by the time it has left.

--- a/core/htrelay/call.go
+++ b/core/htrelay/call.go
@@ -22,6 +22,10 @@
 	Route    *htcatalog.Route
 	Arrived  time.Time
 	Deadline time.Time
+	// Begun is when the caller began to try, as far as can be told; Serve sets it.
+	Begun time.Time
+	// Given is the time that the caller has left, or 0 if it did not say.
+	Given time.Duration
 }
 
 // fingerprint identifies the request for crash counting: the same request sent again
--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -32,8 +32,9 @@
 // the load of a burst, or of a failure domain that was taken out: more calls than the
 // upstreams can answer on time.
 type queue struct {
-	waiters []*waiter
-	polled  time.Time // when upstreams were asked last on behalf of the waiters
+	waiters  []*waiter
+	pressure float64   // share of the recent calls that had to wait
+	polled   time.Time // when upstreams were asked last on behalf of the waiters
 }
 
 func (q *queue) add(w *waiter) {
@@ -85,9 +86,11 @@
 		return nil, nil, refused
 	case refused == nil && ahead == 0 && (choice.Good() || !choice.Fresh()):
 		// Without fresh reports, waiting tells nothing: no upstream has answered.
+		q.entered(false)
 		r.take(now, of, choice)
 		return choice, nil, nil
 	}
+	q.entered(true)
 	if refused != nil || ahead > 0 {
 		wait := r.selector.Wait(now, route, of.service, ahead)
 		if refused != nil && refused.Reason == htcall.ReasonColdLimit {
@@ -143,7 +146,7 @@
 			if w.until.IsZero() {
 				w.until = now.Add(choice.Patience(call.Route.Target))
 			}
-			if w.onTime(now, choice.Expected) != timely || !w.takes(now, choice) {
+			if w.onTime(now, choice.Expected) != timely || !w.takes(now, choice, q.overloaded()) {
 				i++
 				continue
 			}
@@ -156,8 +159,10 @@
 
 // takes reports whether a waiting call goes to an upstream. A call that will be late does
 // not crowd an upstream: in overload, the others there would be late too.
-func (w *waiter) takes(now time.Time, c *htselect.Choice) bool {
+func (w *waiter) takes(now time.Time, c *htselect.Choice, overloaded bool) bool {
 	switch {
+	case overloaded && !w.onTime(now, c.Expected):
+		return false
 	case c.Good():
 		return true
 	case c.Crowded && !w.onTime(now, c.Expected):
@@ -169,7 +174,7 @@
 // onTime reports whether an answer within a time meets the target of the route.
 func (w *waiter) onTime(now time.Time, within time.Duration) bool {
 	call := w.run.call
-	return now.Sub(call.Arrived)+within <= call.Route.Target
+	return now.Sub(call.Begun)+within <= call.Route.Target
 }
 
 // pumpAll grants upstreams to the waiting calls of all services. The caller holds r.mu.
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -99,6 +99,7 @@
 	service := ""
 	if !blocked {
 		service = r.selector.Part(now, call.Route)
+		call.Begun = r.selector.Begun(call.Arrived, call.Route, call.Given)
 	}
 	r.mu.Unlock()
 	if blocked {
--- a/core/htselect/selector.go
+++ b/core/htselect/selector.go
@@ -40,6 +40,7 @@
 // route is the state of one route on this host.
 type route struct {
 	work    *work
+	given   float64   // time that callers usually give, in nanoseconds
 	credits []float64 // by part, of the smooth weighted round robin
 }
 
--- a/io/htentry/call.go
+++ b/io/htentry/call.go
@@ -55,6 +55,9 @@
 	fields["route"] = c.Route.Name
 	fields["target-ms"], fields["left-ms"] = c.Route.Target.Milliseconds(), c.Deadline.Sub(c.Arrived).Milliseconds()
 	fields["idempotent"] = c.Route.Idempotent
+	if tried := c.Arrived.Sub(c.Begun); !c.Begun.IsZero() && tried > 0 {
+		fields["tried-ms"] = tried.Milliseconds()
+	}
 }
 
 // addTrace adds how the answer came about: the last send with what was believed then.
