htselect: an upstream that did not answer a question at once comes last

An upstream that was asked more than 25 ms ago and has said nothing since now costs one target more. Ruled out: a shorter timeout of questions; upstreams that are full answer late, and down is told with a pause.

TestSilentUpstreamsComeLast fails without it.

--- a/core/htselect/ask_test.go
+++ b/core/htselect/ask_test.go
@@ -91,3 +91,30 @@
 		t.Errorf("chose %+v, %+v", choice, refused)
 	}
 }
+
+// Guards against calls that go to upstreams of a lost failure domain until the questions to
+// them time out: a question that was not answered at once counts against an upstream.
+func TestSilentUpstreamsComeLast(t *testing.T) {
+	s := newSelector(1, fixedGroup{size: 1}, catalog(4, nil))
+	now := start
+	for _, id := range []string{"u0", "u1", "u2", "u3"} {
+		s.Observe(now, report(id, 100, 0))
+	}
+	now = now.Add(200 * time.Millisecond) // no report is fresh
+	for _, u := range s.Ask(now, lookup(), "stock", []string{"u1", "u3"}, 2) {
+		if u.Domain != "a" {
+			t.Fatalf("asked %s", u.ID)
+		}
+	}
+	if got := choose(s, now); got != "u0" && got != "u2" {
+		t.Errorf("%s is chosen at once, want an upstream of the own failure domain", got)
+	}
+	now = now.Add(2 * answerTime)
+	if got := choose(s, now); got != "u1" && got != "u3" {
+		t.Errorf("%s is chosen, which did not answer", got)
+	}
+	s.Observe(now, report("u0", 100, 0))
+	if got := choose(s, now); got != "u0" {
+		t.Errorf("%s is chosen, u0 has answered", got)
+	}
+}
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -27,6 +27,9 @@
 	// illShare of the target is added for an upstream that calls itself ill. Its word
 	// may be wrong either way, so it is used when the others are late too.
 	illShare = 2.0
+	// silentShare of the target is added for an upstream that did not answer when it was
+	// asked. It may have been lost with its failure domain a moment ago.
+	silentShare = 1.0
 	// jitter spreads the choices of hosts that know the same, as a share of the score.
 	jitter = 0.1
 	// busyShare of the work time is added for each share of busy slots, so that hosts
@@ -211,6 +214,9 @@
 	if u.report.Ill {
 		score += illShare * target
 	}
+	if u.unanswered(now) {
+		score += silentShare * target
+	}
 	fault := u.fault(now)
 	return score + faultFactor*target*fault*fault
 }
--- a/core/htselect/upstream.go
+++ b/core/htselect/upstream.go
@@ -17,6 +17,9 @@
 	// freshAge is the age up to which a report tells the present state. It covers the time
 	// in which an upstream that was asked answers, and the decision.
 	freshAge = 60 * time.Millisecond
+	// answerTime is the time in which an upstream that works says how it is. They answer
+	// within a few milliseconds.
+	answerTime = 25 * time.Millisecond
 	// unknownSpeed is assumed of an upstream without a fresh report, in percent. It is
 	// the mean over time of a machine that is four times slower for a third of it.
 	unknownSpeed = 200.0
@@ -76,6 +79,12 @@
 	return float64(u.inFlight) + float64(u.foreign)*u.trust(now)
 }
 
+// unanswered reports whether the upstream was asked and has not answered in the time in
+// which upstreams usually do.
+func (u *upstream) unanswered(now time.Time) bool {
+	return u.asked.After(u.seen) && now.Sub(u.asked) > answerTime
+}
+
 // fault returns the recent faults, in failed calls.
 func (u *upstream) fault(now time.Time) float64 {
 	if u.faults == 0 {
