htselect: questions not asked in quiet seconds are saved up for overload

The bucket now keeps those of ten seconds. A host starts with those of one, so that restarts do not raise the mean.

Ruled out: a larger share of the bound (0.75); it holds over all hosts.

TestUnspentQuestionsAreSavedUp.

--- a/core/htselect/ask.go
+++ b/core/htselect/ask.go
@@ -27,6 +27,10 @@
 	// probeShare of the bound on probes is used, since calls do not come evenly to the
 	// hosts.
 	probeShare = 0.75
+	// probeBurst is the time whose unspent tokens are saved up for overload, in which a host
+	// asks most. The bound holds for a mean, which saved tokens do not raise. A host starts
+	// with the tokens of one second, so that restarts do not raise it either.
+	probeBurst = 10 * time.Second
 )
 
 // probeBudget is this host's part of the bound on probes.
@@ -40,11 +44,14 @@
 	return s.probesPerSecond * probeShare * float64(max(len(s.upstreams), 1)) / float64(max(s.group.Size(now), 1))
 }
 
-// spendProbe takes the token of one probe. Tokens of one second are saved up.
+// spendProbe takes the token of one probe.
 func (s *Selector) spendProbe(now time.Time) bool {
 	rate := s.allowance(now)
 	b := &s.probes
-	b.tokens = min(b.tokens+rate*now.Sub(b.since).Seconds(), rate)
+	if b.since.IsZero() {
+		b.since = now.Add(-time.Second)
+	}
+	b.tokens = min(b.tokens+rate*now.Sub(b.since).Seconds(), rate*probeBurst.Seconds())
 	b.since = now
 	if b.tokens < 1 {
 		return false
--- a/core/htselect/ask_test.go
+++ b/core/htselect/ask_test.go
@@ -118,3 +118,29 @@
 		t.Errorf("%s is chosen, u0 has answered", got)
 	}
 }
+
+// Guards against choices by old reports in an overload: a host that asked little for a while
+// may ask more now, and the mean stays within the bound.
+func TestUnspentQuestionsAreSavedUp(t *testing.T) {
+	s := newSelector(1, fixedGroup{size: 4}, catalog(8, nil))
+	rate := s.allowance(start)
+	now := start
+	spent := func() int {
+		n := 0
+		for s.spendProbe(now) {
+			n++
+		}
+		return n
+	}
+	if n := spent(); float64(n) > rate {
+		t.Errorf("a host that starts may ask %d times at once, more than the %.0f of a second", n, rate)
+	}
+	now = now.Add(4 * time.Second)
+	if n := spent(); float64(n) < 3.9*rate || float64(n) > 4*rate {
+		t.Errorf("%d questions after four quiet seconds, want those of four seconds, %.0f", n, 4*rate)
+	}
+	now = now.Add(time.Hour)
+	if n := spent(); float64(n) > rate*probeBurst.Seconds() {
+		t.Errorf("%d questions after an hour, want at most those of %v", n, probeBurst)
+	}
+}
