htrelay: in overload calls that can be on time crowd at once and wait for no late ones

Cause: while a service is overloaded, upstreams with one call of two slots stood half idle, since calls waited for one of their own that never came; and late calls, which are served last, counted as ahead of new ones, which were made to wait or refused because of them.

TestCallsCrowdAtOnceInOverload and TestLateCallsAreNotAhead fail without it.

--- a/core/htrelay/pressure_test.go
+++ b/core/htrelay/pressure_test.go
@@ -68,3 +68,61 @@
 		})
 	}
 }
+
+// Guards against calls that can be on time and wait behind others that can't, or are refused
+// because of them: the others are served after all that can.
+func TestLateCallsAreNotAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(false, after(50, ok))
+		w.relay.Serve(t.Context(), w.call(0)) // tells how long callers usually give
+		w.press()
+		var q *queue
+		w.relay.mu.Lock()
+		q = w.relay.queues["s"]
+		for range maxWaiting / 2 {
+			late := w.call(600 * time.Millisecond)
+			late.Begun = late.Arrived.Add(-600 * time.Millisecond)
+			q.add(&waiter{run: newRun(w.relay, late, "s"), since: time.Now()})
+		}
+		ahead := w.relay.ahead(time.Now(), q, 0)
+		w.relay.mu.Unlock()
+		begun := time.Now()
+		a := w.relay.Serve(t.Context(), w.call(0))
+		if took := time.Since(begun); a.Outcome != htcall.Done || took > 70*time.Millisecond || ahead != 0 {
+			t.Errorf("%d calls count as ahead; a call that can be on time: %s %s after %v", ahead, a.Outcome, a.Reason, took)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against upstreams that are half idle in overload: calls that can be on time although
+// they share an upstream do not wait for one of their own then.
+func TestCallsCrowdAtOnceInOverload(t *testing.T) {
+	tests := []struct {
+		name       string
+		overloaded bool
+		longest    time.Duration // of the wait
+	}{
+		{"overload", true, lookPeriod},
+		{"usual", false, 200 * time.Millisecond / 3},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(false, after(50, ok))
+			for _, id := range []string{"u0", "u1", "u2"} {
+				w.prober.set(id, htselect.Observation{Speed: 100, Slots: 2, Running: 1})
+			}
+			if tt.overloaded {
+				w.press()
+			}
+			a := w.relay.Serve(t.Context(), w.call(0))
+			if a.Outcome != htcall.Done || a.Trace.Waited > tt.longest {
+				t.Errorf("%s: %s after a wait of %v, want at most %v", tt.name, a.Outcome, a.Trace.Waited, tt.longest)
+			}
+			if !tt.overloaded && a.Trace.Waited < lookPeriod {
+				t.Errorf("%s: the call waited %v only, although an upstream of its own might come free", tt.name, a.Trace.Waited)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -55,11 +55,12 @@
 	return true
 }
 
-// ahead counts the waiters that come before a call of that priority.
-func (q *queue) ahead(priority int) int {
+// ahead counts the waiters that come before a call of that priority that can be on time:
+// the others are served after all that can.
+func (r *Relay) ahead(now time.Time, q *queue, priority int) int {
 	n := 0
 	for _, w := range q.waiters {
-		if w.run.call.Route.Priority <= priority {
+		if w.run.call.Route.Priority <= priority && w.onTime(now, r.selector.Work(w.run.call.Route)) {
 			n++
 		}
 	}
@@ -79,7 +80,7 @@
 		q = &queue{}
 		r.queues[of.service] = q
 	}
-	ahead := q.ahead(route.Priority)
+	ahead := r.ahead(now, q, route.Priority)
 	choice, refused := r.selector.Choose(now, route, of.service, left, of.tried)
 	switch {
 	case refused != nil && !refused.MayPass:
@@ -168,7 +169,7 @@
 	case c.Crowded && !w.onTime(now, c.Expected):
 		return false
 	}
-	return !now.Before(w.until)
+	return overloaded || !now.Before(w.until)
 }
 
 // onTime reports whether an answer within a time meets the target of the route.
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -125,6 +125,6 @@
 	defer r.mu.Unlock()
 	t.Census = r.selector.Census(r.now(), of.service, of.tried)
 	if q := r.queues[of.service]; q != nil {
-		t.Ahead = q.ahead(of.call.Route.Priority)
+		t.Ahead = r.ahead(r.now(), q, of.call.Route.Priority)
 	}
 }
