htrelay, htselect: pressure fades, no refusal beside a good upstream, crowding learned sooner

Hosts assume that calls that share an upstream take 1.5 times as long and learn the true factor with a weight of 0.03 a call, too slowly to stop crowding where it makes all late. Besides, the pressure of a service did not fall while no calls came, so that a caller who came back long after a burst was held back and refused beside idle upstreams.

The factor is learned with a weight of 0.1. Pressure is the share of calls that had to wait, forgotten with a time constant of 2 s; a late call whose wait is over goes to a good upstream if one is known and is refused if not.

--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -33,7 +33,7 @@
 // upstreams can answer on time.
 type queue struct {
 	waiters  []*waiter
-	pressure float64   // share of the recent calls that had to wait
+	pressure pressure
 	polled   time.Time // when upstreams were asked last on behalf of the waiters
 }
 
@@ -87,11 +87,11 @@
 		return nil, nil, refused
 	case refused == nil && ahead == 0 && (choice.Good() || !choice.Fresh()):
 		// Without fresh reports, waiting tells nothing: no upstream has answered.
-		q.entered(false)
+		q.pressure.entered(now, false)
 		r.take(now, of, choice)
 		return choice, nil, nil
 	}
-	q.entered(true)
+	q.pressure.entered(now, true)
 	if refused != nil || ahead > 0 {
 		wait := r.selector.Wait(now, route, of.service, ahead)
 		if refused != nil && refused.Reason == htcall.ReasonColdLimit {
@@ -147,7 +147,7 @@
 			if w.until.IsZero() {
 				w.until = now.Add(choice.Patience(call.Route.Target))
 			}
-			if w.onTime(now, choice.Expected) != timely || !w.takes(now, choice, q.overloaded()) {
+			if w.onTime(now, choice.Expected) != timely || !w.takes(now, choice, q.pressure.overloaded(now)) {
 				i++
 				continue
 			}
@@ -210,13 +210,28 @@
 	if !slices.Contains(q.waiters, w) {
 		return false
 	}
-	late := !w.onTime(now, r.selector.Work(call.Route)) && now.Sub(w.since) > lateWait(call.Route)
-	if late || call.Deadline.Sub(now) < r.selector.Shortest(call.Route) {
+	switch late := !w.onTime(now, r.selector.Work(call.Route)); {
+	case call.Deadline.Sub(now) < r.selector.Shortest(call.Route):
 		return q.remove(w)
+	case late && now.Sub(w.since) > lateWait(call.Route):
+		return !r.lastChance(now, w) && q.remove(w)
 	}
 	return false
 }
 
+// lastChance sends a call whose wait is over to a good upstream if one is known: no call is
+// refused while there is one. The caller holds r.mu.
+func (r *Relay) lastChance(now time.Time, w *waiter) bool {
+	call, service := w.run.call, w.run.service
+	choice, refused := r.selector.Choose(now, call.Route, service, call.Deadline.Sub(now), w.run.tried)
+	if refused != nil || !choice.Good() || !r.queues[service].remove(w) {
+		return false
+	}
+	r.take(now, w.run, choice)
+	w.granted <- choice
+	return true
+}
+
 // lateWait is how long a call waits if its answer will be late. In overload, more waiting
 // brings nothing, and a caller that is refused may come back when it is over.
 func lateWait(route *htcatalog.Route) time.Duration {
--- a/core/htselect/crowd.go
+++ b/core/htselect/crowd.go
@@ -11,7 +11,7 @@
 	// measured.
 	initialCrowding = 1.5
 	// crowdWeight is the weight of the newest measurement.
-	crowdWeight = 0.03
+	crowdWeight = 0.1
 	// maxCrowding bounds one measurement: the upstream may have become slow for another
 	// reason.
 	maxCrowding = 4.0
--- a/io/htentry/call.go
+++ b/io/htentry/call.go
@@ -54,7 +54,7 @@
 func addCall(fields logrus.Fields, c *htrelay.Call) {
 	fields["route"] = c.Route.Name
 	fields["target-ms"], fields["left-ms"] = c.Route.Target.Milliseconds(), c.Deadline.Sub(c.Arrived).Milliseconds()
-	fields["idempotent"] = c.Route.Idempotent
+	fields["idempotent"], fields["attempts"] = c.Route.Idempotent, c.Route.Attempts
 	if tried := c.Arrived.Sub(c.Begun); !c.Begun.IsZero() && tried > 0 {
 		fields["tried-ms"] = tried.Milliseconds()
 	}
