--- a/core/htrelay/call.go
+++ b/core/htrelay/call.go
@@ -64,10 +64,12 @@
 	Age      time.Duration
 	Expected time.Duration
 
-	// Census and Ahead are told of refused calls: what kept the upstreams from taking the
-	// call, and the calls that waited before it.
-	Census htselect.Census
-	Ahead  int
+	// Census, Ahead and Pressure are told of refused calls: what kept the upstreams from
+	// taking the call, the calls that waited before it, and the share of the recent calls
+	// that had to wait.
+	Census   htselect.Census
+	Ahead    int
+	Pressure float64
 	// Fingerprint is told of calls that were broken or quarantined.
 	Fingerprint string
 }
--- a/core/htrelay/decision.go
+++ b/core/htrelay/decision.go
@@ -26,6 +26,8 @@
 	Ahead  int              // calls that wait before it
 	Left   time.Duration
 	Census htselect.Census
+	// Pressure is the share of the recent calls to the service that had to wait.
+	Pressure float64
 }
 
 // Failing means that a send brought no answer that can be passed on.
--- a/core/htrelay/pressure.go
+++ b/core/htrelay/pressure.go
@@ -42,11 +42,14 @@
 	p.at = now
 }
 
+// share returns the share of the recent calls that had to wait.
+func (p *pressure) share(now time.Time) float64 {
+	p.fade(now)
+	return p.waits / (p.calls + pressurePrior)
+}
+
 // overloaded reports whether the calls that can still be on time need all upstreams. It
 // answers the load of a burst while upstreams are lost: hosts don't know of each other's
 // waiting calls, and a late call on one would take the place of one on another that can be
 // on time. Late calls then wait until the pressure falls or their wait is over.
-func (p *pressure) overloaded(now time.Time) bool {
-	p.fade(now)
-	return p.waits/(p.calls+pressurePrior) >= overloadPressure
-}
+func (p *pressure) overloaded(now time.Time) bool { return p.share(now) >= overloadPressure }
--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -102,7 +102,10 @@
 		}
 	}
 	w := &waiter{run: of, since: now, granted: make(chan *htselect.Choice, 1)}
-	w.entry = Waiting{Choice: choice, Ahead: ahead, Left: left, Census: r.selector.Census(now, of.service, of.tried)}
+	w.entry = Waiting{
+		Choice: choice, Ahead: ahead, Left: left,
+		Census: r.selector.Census(now, of.service, of.tried), Pressure: q.pressure.share(now),
+	}
 	if choice != nil {
 		w.until = now.Add(choice.Patience(route.Target))
 	} else {
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -123,8 +123,10 @@
 func (r *Relay) explain(of *run, t *Trace) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.Census = r.selector.Census(r.now(), of.service, of.tried)
+	now := r.now()
+	t.Census = r.selector.Census(now, of.service, of.tried)
 	if q := r.queues[of.service]; q != nil {
-		t.Ahead = r.ahead(r.now(), q, of.call.Route.Priority)
+		t.Ahead = r.ahead(now, q, of.call.Route.Priority)
+		t.Pressure = q.pressure.share(now)
 	}
 }
--- a/io/htentry/call.go
+++ b/io/htentry/call.go
@@ -42,7 +42,7 @@
 	}
 	addTrace(fields, &a.Trace)
 	if a.Outcome == htcall.NotRun && r.Call != nil {
-		fields["ahead"] = a.Trace.Ahead
+		fields["ahead"], fields["pressure"] = a.Trace.Ahead, percent(a.Trace.Pressure)
 		addCensus(fields, &a.Trace.Census)
 	}
 	if a.RetryAfter > 0 {
--- a/io/htentry/decide.go
+++ b/io/htentry/decide.go
@@ -31,6 +31,7 @@
 		} else {
 			addChoice(fields, d.Choice)
 		}
+		fields["pressure"] = percent(d.Pressure)
 		addCensus(fields, &d.Census)
 		logrus.WithFields(fields).Info("call waits for a better upstream")
 	case htrelay.Failing:
@@ -56,6 +57,8 @@
 	}
 }
 
+func percent(share float64) int { return int(100 * share) }
+
 // milliseconds returns the age of a report; -1 means that there is none.
 func milliseconds(age time.Duration) int64 {
 	if age < 0 {
