--- /dev/null
+++ b/core/htrelay/fakes_test.go
@@ -0,0 +1,235 @@
+package htrelay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htroute"
+	"hawthornturn/core/htselect"
+)
+
+// group is a group of one host.
+type group struct{}
+
+func (group) Size(time.Time) int { return 1 }
+
+func (group) RankAll(uint64) int { return 0 }
+
+// reaction is what a fake upstream does with a send.
+type reaction struct {
+	after time.Duration
+	reply Reply // nil: nothing until the context ends
+}
+
+// sender plays a reaction for each send, the last one again and again.
+type sender struct {
+	mu        sync.Mutex
+	reactions []reaction
+	sent      []string // upstreams in order
+	canceled  int
+	deadlines []time.Time
+	crash     bool // an upstream that gets a call is gone afterwards
+	prober    *prober
+}
+
+// Send implements Sender.
+func (s *sender) Send(ctx context.Context, to htcatalog.Upstream, deadline time.Time, _ *Call) Reply {
+	s.mu.Lock()
+	r := s.reactions[min(len(s.sent), len(s.reactions)-1)]
+	s.sent = append(s.sent, to.ID)
+	s.deadlines = append(s.deadlines, deadline)
+	if s.crash {
+		s.prober.set(to.ID, htselect.Observation{Down: true})
+	}
+	s.mu.Unlock()
+	if r.reply == nil {
+		<-ctx.Done()
+	} else {
+		select {
+		case <-time.After(r.after):
+			return r.reply
+		case <-ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		s.canceled++
+	}
+	return Broken{Err: ctx.Err()}
+}
+
+// sends returns the upstreams that were sent to, in order.
+func (s *sender) sends() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.sent)
+}
+
+// cancels returns the number of sends that were canceled.
+func (s *sender) cancels() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.canceled
+}
+
+// prober tells what the upstreams say of themselves.
+type prober struct {
+	mu     sync.Mutex
+	says   map[string]htselect.Observation // by id; others are idle at their usual speed
+	silent map[string]bool                 // do not answer
+	asked  map[string]int
+}
+
+func newProber() *prober {
+	return &prober{says: map[string]htselect.Observation{}, silent: map[string]bool{}, asked: map[string]int{}}
+}
+
+// Probe implements Prober.
+func (p *prober) Probe(ctx context.Context, to htcatalog.Upstream, _ string) (htselect.Observation, error) {
+	p.mu.Lock()
+	p.asked[to.ID]++
+	o, known := p.says[to.ID]
+	silent := p.silent[to.ID]
+	p.mu.Unlock()
+	switch {
+	case silent:
+		<-ctx.Done()
+		return htselect.Observation{}, ctx.Err()
+	case o.Down:
+		return htselect.Observation{}, ErrGone
+	case !known:
+		o = htselect.Observation{Speed: 100, Slots: 2}
+	}
+	o.ColdTold = true
+	return o, nil
+}
+
+func (p *prober) set(id string, o htselect.Observation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.says[id] = o
+}
+
+// events counts what other hosts would be told.
+type events struct {
+	mu        sync.Mutex
+	faults    int
+	gone      int
+	crashes   int
+	changes   []string // states of upstreams, before and after
+	decisions []Decision
+}
+
+// UpstreamDown implements Events.
+func (e *events) UpstreamDown(_ htcatalog.Upstream, _ error, gone bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if gone {
+		e.gone++
+	}
+}
+
+// Faulty implements Events.
+func (e *events) Faulty(htcatalog.Upstream, htselect.Fault, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults++
+}
+
+// UpstreamChanged implements Events.
+func (e *events) UpstreamChanged(u htcatalog.Upstream, before, after htselect.Observation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.changes = append(e.changes, u.ID+" "+before.State()+"-"+after.State())
+}
+
+// Crashed implements Events.
+func (e *events) Crashed(htroute.CrashCount) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes++
+}
+
+// Decided implements Events.
+func (e *events) Decided(_ *Call, d Decision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.decisions = append(e.decisions, d)
+}
+
+// steps names the decisions in order.
+func (e *events) steps() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var steps []string
+	for _, d := range e.decisions {
+		switch d := d.(type) {
+		case Sending:
+			steps = append(steps, "send "+string(d.Cause))
+		case Waiting:
+			steps = append(steps, "wait "+string(d.Reason))
+		case Failing:
+			steps = append(steps, fmt.Sprintf("%T", d.Reply))
+		case Staying:
+			steps = append(steps, "stay "+d.Because)
+		}
+	}
+	return steps
+}
+
+var (
+	ok      = Answered{Status: http.StatusOK, Body: []byte("whole"), Work: 50 * time.Millisecond}
+	failed  = Answered{Status: http.StatusInternalServerError}
+	notRun  = Refused{}
+	moved   = Refused{Misplaced: true}
+	reset   = Broken{Err: errors.New("reset"), Reset: true}
+	unsent  = NotSent{Err: errors.New("dial"), Refused: true}
+	silence = reaction{}
+)
+
+func after(ms int, r Reply) reaction { return reaction{time.Duration(ms) * time.Millisecond, r} }
+
+// world is a relay with three fake upstreams.
+type world struct {
+	relay  *Relay
+	sender *sender
+	prober *prober
+	events *events
+	route  *htcatalog.Route
+}
+
+func newWorld(idempotent bool, reactions ...reaction) *world {
+	route := htcatalog.Route{
+		Name: "r", Idempotent: idempotent, Timeout: time.Second, Target: 200 * time.Millisecond, Attempts: 2,
+		Parts: []htcatalog.Part{{Service: "s", Weight: 1}},
+	}
+	config := &htcatalog.Config{Routes: []htcatalog.Route{route}, Services: []htcatalog.Service{{Name: "s", ColdPerSecond: 10}}}
+	var upstreams []htcatalog.Upstream
+	for i := range 3 {
+		upstreams = append(upstreams, htcatalog.Upstream{ID: fmt.Sprintf("u%d", i), Service: "s", Domain: "a", Slots: 2})
+	}
+	limits := htselect.Limits{
+		Retry:           htselect.RetryLimit{Ratio: 1, Extra: 1000, Window: time.Second},
+		ProbesPerSecond: 60,
+	}
+	selector := htselect.New("a", group{}, limits, rand.New(rand.NewPCG(1, 2)))
+	selector.Apply(time.Now(), htcatalog.New(config, upstreams, nil))
+	w := &world{sender: &sender{reactions: reactions}, prober: newProber(), events: &events{}, route: &route}
+	w.relay = New(selector, w.sender, w.prober, w.events, time.Now)
+	return w
+}
+
+func (w *world) serve(ctx context.Context) *Answer {
+	now := time.Now()
+	return w.relay.Serve(ctx, &Call{
+		ID: "1", Method: http.MethodGet, Host: "h", URI: "/x/", Route: w.route, Arrived: now, Deadline: now.Add(time.Second),
+	})
+}
