htlab: a load that is told to end goes on reading which hosts are ready

The read under way failed and all hosts counted as not ready, so the second copies that were still to be sent went to all hosts, also to the one that had stopped. In both failures that were kept it was request 759, the last one of the load.

Ruled out: a third host that is not ready for a moment. It answered 200 throughout.

TestHostsPick and TestLoadWatchesHostsUntilAllCopiesAreSent failed before.

--- a/internal/htlab/hosts.go
+++ b/internal/htlab/hosts.go
@@ -77,12 +77,16 @@
 	}
 }
 
-// check reads /ready of all hosts once, side by side.
+// check reads /ready of all hosts once, side by side. A read that ends with ctx tells
+// nothing of the host.
 func (h *hosts) check(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, a := range h.addresses {
 		wg.Go(func() {
 			ready := h.ready(ctx, a)
+			if ctx.Err() != nil {
+				return
+			}
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.out[a] = !ready
--- a/internal/htlab/load.go
+++ b/internal/htlab/load.go
@@ -46,7 +46,8 @@
 // the upstreams' records. When ctx ends it stops sending; calls under way still
 // end by themselves.
 func (l *Load) Run(ctx context.Context) (Result, error) {
-	watching, stopWatching := context.WithCancel(ctx)
+	// Second copies are sent after ctx has ended too, and need a host that is ready.
+	watching, stopWatching := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWatching()
 	if l.settings.ReadyEvery > 0 {
 		l.hosts.check(ctx)
--- a/internal/htlab/load_test.go
+++ b/internal/htlab/load_test.go
@@ -1,6 +1,7 @@
 package htlab
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -264,6 +265,49 @@
 	if got := h.pick(a); got != a {
 		t.Errorf("the second copy goes to %s, which is not ready", got)
 	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	h.check(ended)
+	if got := h.pick(a); got != a {
+		t.Errorf("after a check that was cut short, the second copy goes to %s, which is not ready", got)
+	}
+}
+
+// Guards against second copies that go to stopped hosts because the load no longer reads
+// /ready while it ends.
+func TestLoadWatchesHostsUntilAllCopiesAreSent(t *testing.T) {
+	var ended atomic.Bool
+	var reads atomic.Int32
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/ready" {
+			if ended.Load() {
+				reads.Add(1)
+			}
+			return
+		}
+		time.Sleep(200 * time.Millisecond) // the last call is under way when the load is told to end
+	}))
+	defer host.Close()
+	load, err := NewLoad(LoadSettings{
+		Hosts: []string{host.Listener.Addr().String()}, Service: "s", Rate: 100, Duration: time.Minute,
+		ReadyEvery: 10 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(t.Context())
+	load.Progress = func(arrivals int) {
+		if arrivals == 5 {
+			ended.Store(true)
+			end()
+		}
+	}
+	if _, err := load.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if n := reads.Load(); n < 3 {
+		t.Errorf("/ready was read %d times while the last calls were under way", n)
+	}
 }
 
 // Guards against an answer to another request that passes because one of its parts
