--- a/internal/htlab/load_test.go
+++ b/internal/htlab/load_test.go
@@ -278,7 +278,7 @@
 func TestLoadWatchesHostsUntilAllCopiesAreSent(t *testing.T) {
 	var ended atomic.Bool
 	var reads atomic.Int32
-	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	host := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/ready" {
 			if ended.Load() {
 				reads.Add(1)
