--- a/io/htback/conns.go
+++ b/io/htback/conns.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,9 +19,13 @@
 	"hawthornturn/core/htpath"
 )
 
+// statedShare of the time in the Keep-Alive header field of an upstream is how long a
+// connection to it may be idle: a request must not meet the upstream's close.
+const statedShare = 0.8
+
 // ConnSettings bound the connections to each upstream.
 type ConnSettings struct {
-	Idle  time.Duration // idle connections are closed after this time
+	Idle  time.Duration // idle connections are closed after this time, or sooner if the upstream says so
 	Spare int           // connections beyond the slots of the upstream
 }
 
@@ -49,6 +55,9 @@
 	if err != nil {
 		return nil, p.classify(send, err)
 	}
+	if stated, told := statedIdle(response.Header); told && stated < p.idle {
+		c.shorten(address, p, stated)
+	}
 	return response, nil
 }
 
@@ -63,6 +72,33 @@
 	return p
 }
 
+// shorten makes new connections to an upstream end sooner when they are idle. Those in use
+// end as the upstream closes them.
+func (c *Conns) shorten(address string, p *port, idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ports[address] != p { // another answer said so first, or the upstream is gone
+		return
+	}
+	c.ports[address] = newPort(p.most, idle)
+	p.pooled.CloseIdleConnections()
+}
+
+// statedIdle returns how long a connection may be idle by the Keep-Alive header field of an
+// answer, such as "timeout=5, max=100".
+func statedIdle(header http.Header) (time.Duration, bool) {
+	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.ParseFloat(value, 64); err == nil && seconds > 0 {
+			return time.Duration(statedShare * seconds * float64(time.Second)), true
+		}
+	}
+	return 0, false
+}
+
 // Retain closes the connections to upstreams whose address is not kept.
 func (c *Conns) Retain(keep map[string]bool) {
 	c.mu.Lock()
@@ -92,11 +128,13 @@
 type port struct {
 	pooled *http.Transport
 	fresh  *http.Transport
+	most   int
+	idle   time.Duration
 	open   atomic.Int64
 }
 
 func newPort(most int, idle time.Duration) *port {
-	p := &port{}
+	p := &port{most: most, idle: idle}
 	p.pooled = p.transport(most, idle)
 	p.fresh = p.transport(most, idle)
 	p.fresh.DisableKeepAlives = true
--- /dev/null
+++ b/io/htback/idle_test.go
@@ -0,0 +1,61 @@
+package htback
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against requests that meet an upstream's close: one that closes idle connections
+// sooner than the others says so, and its connections must end before.
+func TestIdleConnectionsEndBeforeTheUpstreamClosesThem(t *testing.T) {
+	tests := []struct {
+		name, stated string
+		conns        int32 // for three requests, each 0.5 s after the one before
+	}{
+		{"nothing stated", "", 1},
+		{"longer than usual", "timeout=60", 1},
+		{"half a second", "timeout=0.5, max=100", 3},
+		{"not a number", "timeout=soon", 1},
+		{"zero", "timeout=0", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var opened atomic.Int32
+			upstream := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if tt.stated != "" {
+					w.Header().Set("Keep-Alive", tt.stated)
+				}
+			}))
+			upstream.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+				if s == http.StateNew {
+					opened.Add(1)
+				}
+			}
+			upstream.Start()
+			defer upstream.Close()
+			conns := NewConns(ConnSettings{Idle: 10 * time.Second, Spare: 1})
+			for range 3 {
+				request, err := http.NewRequest(http.MethodGet, upstream.URL, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				response, err := conns.RoundTrip(request, upstream.Listener.Addr().String(), 1, false, NewSending())
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+				time.Sleep(500 * time.Millisecond)
+			}
+			if n := opened.Load(); n != tt.conns {
+				t.Errorf("%d connections for three requests, want %d", n, tt.conns)
+			}
+		})
+	}
+}
