htrelay, htselect: an upstream that only says nothing has not crashed

Two such cases blocked the request on all hosts for ten minutes (503, quarantined).

Ruled out: counting by the broken connection alone; lost answers are common.

Only an address that refuses connections, or at which another upstream answers, now counts. TestCrashingRequestIsRefused, case "upstreams say nothing afterwards", failed before.

--- a/core/htrelay/ask.go
+++ b/core/htrelay/ask.go
@@ -68,7 +68,7 @@
 	o, err := r.prober.Probe(ctx, u, r.healthPath(u.Service))
 	now := r.now()
 	if err != nil {
-		o = htselect.Observation{Slots: u.Slots, Down: true}
+		o = htselect.Observation{Slots: u.Slots, Down: true, Gone: errors.Is(err, ErrGone)}
 	}
 	o.Upstream = u.Ref()
 	r.mu.Lock()
@@ -77,7 +77,7 @@
 	good := r.selector.Near(now, o.Upstream)
 	r.mu.Unlock()
 	if o.Down && !before.Down {
-		r.events.UpstreamDown(u, err, errors.Is(err, ErrGone))
+		r.events.UpstreamDown(u, err, o.Gone)
 	}
 	return good
 }
--- a/core/htrelay/crash.go
+++ b/core/htrelay/crash.go
@@ -15,8 +15,9 @@
 	crashThreshold = 2
 	// crashWindow is how long crashes are remembered.
 	crashWindow = 10 * time.Minute
-	// crashConfirm is the time within which an upstream must be found down for a
-	// broken connection to count as a crash. Answers are lost in other ways too.
+	// crashConfirm is the time within which an upstream must be found gone for a broken
+	// connection to count as a crash. Answers are lost in other ways too, and one that is
+	// only silent may be cut off.
 	crashConfirm = 700 * time.Millisecond
 	maxSuspects  = 256
 	// crashNews is how long a crash is told to other hosts with each message; a few of
@@ -62,9 +63,9 @@
 	c.suspects = append(c.suspects, suspect{fingerprint, ref, now})
 }
 
-// down counts a crash for each request whose connection to the upstream just broke, and
+// gone counts a crash for each request whose connection to the upstream just broke, and
 // returns them.
-func (c *crashes) down(now time.Time, ref htcatalog.Ref) []htroute.CrashCount {
+func (c *crashes) gone(now time.Time, ref htcatalog.Ref) []htroute.CrashCount {
 	var counted []htroute.CrashCount
 	kept := c.suspects[:0]
 	for _, s := range c.suspects {
--- a/core/htrelay/fakes_test.go
+++ b/core/htrelay/fakes_test.go
@@ -36,6 +36,7 @@
 	canceled  int
 	deadlines []time.Time
 	crash     bool // an upstream that gets a call is gone afterwards
+	hush      bool // an upstream that gets a call says nothing of itself afterwards
 	prober    *prober
 }
 
@@ -48,6 +49,9 @@
 	if s.crash {
 		s.prober.set(to.ID, htselect.Observation{Down: true})
 	}
+	if s.hush {
+		s.prober.hush(to.ID)
+	}
 	s.mu.Unlock()
 	if r.reply == nil {
 		<-ctx.Done()
@@ -112,6 +116,12 @@
 	return o, nil
 }
 
+func (p *prober) hush(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[id] = true
+}
+
 func (p *prober) set(id string, o htselect.Observation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -60,8 +60,8 @@
 	if u, known := r.selector.Upstream(o.Upstream); known && after.State() != before.State() {
 		r.events.UpstreamChanged(u, before, after)
 	}
-	if o.Down {
-		for _, c := range r.crashes.down(at, o.Upstream) {
+	if o.Gone {
+		for _, c := range r.crashes.gone(at, o.Upstream) {
 			r.events.Crashed(c)
 		}
 	}
--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -39,7 +39,7 @@
 	case NotSent:
 		switch {
 		case reply.Refused:
-			r.observe(now, htselect.Observation{Upstream: c.Upstream.Ref(), Slots: c.Upstream.Slots, Down: true})
+			r.observe(now, htselect.Observation{Upstream: c.Upstream.Ref(), Slots: c.Upstream.Slots, Down: true, Gone: true})
 			defer r.events.UpstreamDown(c.Upstream, reply.Err, true)
 		case reply.Silent:
 			fault.Weight = htselect.FaultSilent
--- a/core/htselect/observation.go
+++ b/core/htselect/observation.go
@@ -15,7 +15,8 @@
 	Slots    int
 	Cold     time.Duration // how long the upstream stays cold
 	ColdTold bool          // the upstream told Cold; answers to calls do not
-	Down     bool          // it accepts no connection
+	Down     bool          // it accepts no connection, or does not answer
+	Gone     bool          // down, and not for this host alone: nothing listens at its address, or another upstream does
 	Ill      bool          // its health path reports a failure
 }
 
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -180,7 +180,7 @@
 // learn gives the contents of a message to the relay.
 func (e *Entry) learn(now time.Time, m *htgossip.Message) {
 	for _, ref := range m.Gone {
-		e.relay.Learn(now, htselect.Observation{Upstream: ref, Down: true})
+		e.relay.Learn(now, htselect.Observation{Upstream: ref, Down: true, Gone: true})
 	}
 	e.relay.Do(func(s *htselect.Selector) {
 		for _, f := range m.Faults {
