htentry, platform: a host that starts again does not write its row

Cause: each start cost a write and a read at the store, also when the row of the host was there and the same.

Ruled out: reading first at the first start of the system too; nobody has a row then, and it would cost a third call. The platform's settings tell that start.

TestRegister failed before.

--- a/core/htgroup/group.go
+++ b/core/htgroup/group.go
@@ -36,6 +36,11 @@
 	Capacity int `json:"capacity"`
 }
 
+// SamePlace reports whether o is the same host at the same address.
+func (m Member) SamePlace(o Member) bool {
+	return m.Name == o.Name && m.Address == o.Address && m.Domain == o.Domain
+}
+
 // peer is a member with what was last heard of it.
 type peer struct {
 	Member
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -34,6 +34,9 @@
 	Metrics   string // address for metrics besides the one for other hosts; may be empty
 	Limits    htselect.Limits
 	Grace     time.Duration // from SIGTERM until the process is killed
+	// FirstStart is set while the whole system starts for the first time: no host has a row
+	// in the store yet.
+	FirstStart bool
 }
 
 // Directory lists the entry hosts in the platform's store.
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -268,13 +269,28 @@
 }
 
 // register writes this host's row before it reads the others', so that of two hosts
-// that start together at least one learns of the other.
+// that start together at least one learns of the other. A host that starts again finds its
+// row as it is and writes nothing: after a loss of power all hosts start at once, and the
+// store takes few writes a second.
 func (e *Entry) register(ctx context.Context) error {
-	e.metrics.storeCalls.Add(2)
+	if !e.settings.FirstStart {
+		members, err := e.members(ctx)
+		if err != nil || slices.ContainsFunc(members, e.settings.Self.SamePlace) {
+			return err
+		}
+	}
+	e.metrics.storeCalls.Add(1)
 	written := e.ports.Directory.Register(ctx, e.settings.Self)
+	_, err := e.members(ctx)
+	return errors.Join(written, err)
+}
+
+// members reads the rows of all hosts and greets those that are silent.
+func (e *Entry) members(ctx context.Context) ([]htgroup.Member, error) {
+	e.metrics.storeCalls.Add(1)
 	members, err := e.ports.Directory.Members(ctx)
 	if err != nil {
-		return errors.Join(written, err)
+		return nil, err
 	}
 	e.mu.Lock()
 	for _, m := range members {
@@ -282,7 +298,7 @@
 	}
 	e.mu.Unlock()
 	e.beatQuiet()
-	return written
+	return members, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- /dev/null
+++ b/io/htentry/register_test.go
@@ -0,0 +1,78 @@
+package htentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+
+	"hawthornturn/core/htgroup"
+)
+
+// directory records the calls in order.
+type directory struct {
+	members []htgroup.Member
+	fails   bool
+	calls   []string
+}
+
+// Register implements Directory.
+func (d *directory) Register(_ context.Context, m htgroup.Member) error {
+	d.calls = append(d.calls, "write")
+	d.members = append(d.members, m)
+	return nil
+}
+
+// Members implements Directory.
+func (d *directory) Members(context.Context) ([]htgroup.Member, error) {
+	d.calls = append(d.calls, "read")
+	if d.fails {
+		return nil, errors.New("the store is down")
+	}
+	return slices.Clone(d.members), nil
+}
+
+// Guards against hosts that start together and do not find each other, against a row that
+// names an old address, and against writes that change nothing: after a loss of power all
+// hosts start at once, and the store takes few writes a second.
+func TestRegister(t *testing.T) {
+	member := func(name, address string) htgroup.Member {
+		return htgroup.Member{Name: name, Address: netip.MustParseAddrPort(address), Domain: "a"}
+	}
+	self, other, moved := member("self", "127.0.0.1:0"), member("other", "127.0.0.2:9"), member("self", "127.0.0.3:9")
+	tests := []struct {
+		name  string
+		rows  []htgroup.Member
+		first bool
+		fails bool
+		calls string
+	}{
+		{"the system starts for the first time", nil, true, false, "write read"},
+		{"starts again", []htgroup.Member{other, self}, false, false, "read"},
+		{"new host", []htgroup.Member{other}, false, false, "read write read"},
+		{"new address", []htgroup.Member{other, moved}, false, false, "read write read"},
+		{"the store is down", nil, false, true, "read"},
+	}
+	for _, tt := range tests {
+		d := &directory{members: tt.rows, fails: tt.fails}
+		e, err := New(
+			Settings{Self: self, Callers: "127.0.0.1:0", Balancer: "127.0.0.1:0", FirstStart: tt.first},
+			Ports{Directory: d, Handler: func(*Entry) http.Handler { return http.NotFoundHandler() }},
+		)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer e.closeListeners()
+		err = e.register(t.Context())
+		if got := strings.Join(d.calls, " "); got != tt.calls || (err != nil) != tt.fails {
+			t.Errorf("%s: %q, error %v, want %q", tt.name, got, err, tt.calls)
+		}
+		_, quiet := e.group.Others(e.timers.Now())
+		if known := slices.ContainsFunc(quiet, other.SamePlace); known != slices.Contains(tt.rows, other) {
+			t.Errorf("%s: the other host is known: %t", tt.name, known)
+		}
+	}
+}
