htrelay: one look a period serves all calls that wait for a service

Cause: each waiting call looked every 10 ms and chose an upstream for all calls of its queue, so that a queue of n calls chose n times n times a period. In overload that took 73% of the processor time of the relay.

Ruled out: what upstreams say (8% of the time, and it must reach the waiters at once).

TestOneLookServesAllWaiters needs the new method and did not build before.

--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -35,6 +35,18 @@
 	waiters  []*waiter
 	pressure pressure
 	polled   time.Time // when upstreams were asked last on behalf of the waiters
+	looked   time.Time // when a look served the waiters last
+}
+
+// due reports whether the waiters are to look again. Each of them asks so every lookPeriod,
+// and one look serves all: in overload, looks for each of them take most of the processor
+// time of a host.
+func (q *queue) due(now time.Time) bool {
+	if now.Sub(q.looked) < lookPeriod/2 {
+		return false
+	}
+	q.looked = now
+	return true
 }
 
 func (q *queue) add(w *waiter) {
@@ -208,8 +220,10 @@
 	call := w.run.call
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pump(w.run.service)
 	q := r.queues[w.run.service]
+	if q.due(now) {
+		r.pump(w.run.service)
+	}
 	if !slices.Contains(q.waiters, w) {
 		return false
 	}
--- a/core/htrelay/queue_test.go
+++ b/core/htrelay/queue_test.go
@@ -143,3 +143,28 @@
 		}
 	})
 }
+
+// Guards against an overload in which the looks of waiting calls take the processor time of
+// their host: each look chooses for all of them.
+func TestOneLookServesAllWaiters(t *testing.T) {
+	const waiters, periods = 100, 10
+	q := &queue{}
+	start := time.Unix(1000, 0)
+	looks := 0
+	for p := range periods {
+		for w := range waiters { // evenly spread over the period
+			if q.due(start.Add(time.Duration(p)*lookPeriod + time.Duration(w)*lookPeriod/waiters)) {
+				looks++
+			}
+		}
+	}
+	if looks < periods || looks > 2*periods {
+		t.Errorf("%d looks in %d periods", looks, periods)
+	}
+	alone := &queue{}
+	for p := range periods { // a timer may fire a little early after it was late
+		if at := start.Add(time.Duration(p)*lookPeriod - time.Duration(p%2)*lookPeriod/10); !alone.due(at) {
+			t.Errorf("a call that waits alone does not look in period %d", p)
+		}
+	}
+}
