htrelay: two sends that meet the loss of a failure domain are one crash

Ruled out: a higher threshold (a request that crashes upstreams would take one more of them), and waiting to see how many upstreams are gone (news of it comes after the decision).

Crashes of a request that one host sent to one failure domain within 0.1 s count once. A request that crashes upstreams is still refused: its later sends count, and those of other hosts. TestLostDomainIsNoCrashOfTheRequest fails without the rule ("at once in the same domain").

--- a/core/htrelay/crash.go
+++ b/core/htrelay/crash.go
@@ -1,6 +1,7 @@
 package htrelay
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -19,7 +20,12 @@
 	// connection to count as a crash. Answers are lost in other ways too, and one that is
 	// only silent may be cut off.
 	crashConfirm = 700 * time.Millisecond
-	maxSuspects  = 256
+	// domainLoss is the time within which two crashes of a request that this host sent to
+	// one failure domain count once: the two sends of a call may meet the loss of a failure
+	// domain. Its upstreams are gone within 10 ms of each other, and the second send follows
+	// the first within askLimit.
+	domainLoss  = 100 * time.Millisecond
+	maxSuspects = 256
 	// crashNews is how long a crash is told to other hosts with each message; a few of
 	// them may be lost. maxCrashNews bounds the size of a message.
 	crashNews    = 3 * time.Second
@@ -32,18 +38,25 @@
 type crashes struct {
 	quarantine *htroute.Quarantine
 	suspects   []suspect
+	counted    map[place]time.Time  // last crash that was counted there, for domainLoss
 	news       []htroute.CrashCount // seen by this host, oldest first
 }
 
+// place is a request in a failure domain.
+type place struct {
+	fingerprint uint64
+	domain      string
+}
+
 // suspect is a request whose connection broke.
 type suspect struct {
-	fingerprint uint64
-	upstream    htcatalog.Ref
-	at          time.Time
+	place
+	upstream htcatalog.Ref
+	at       time.Time
 }
 
 func newCrashes() *crashes {
-	return &crashes{quarantine: htroute.NewQuarantine(crashThreshold, crashWindow)}
+	return &crashes{quarantine: htroute.NewQuarantine(crashThreshold, crashWindow), counted: map[place]time.Time{}}
 }
 
 func name[T ~uint32 | ~uint64](id T) string { return strconv.FormatUint(uint64(id), 36) }
@@ -55,12 +68,12 @@
 // served notes that an upstream has run a request to its end.
 func (c *crashes) served(fingerprint uint64) { c.quarantine.Served(name(fingerprint)) }
 
-// broke notes that the connection of a request broke.
-func (c *crashes) broke(now time.Time, fingerprint uint64, ref htcatalog.Ref) {
+// broke notes that the connection of a request to an upstream broke.
+func (c *crashes) broke(now time.Time, fingerprint uint64, u htcatalog.Upstream) {
 	if len(c.suspects) >= maxSuspects {
 		c.suspects = c.suspects[1:]
 	}
-	c.suspects = append(c.suspects, suspect{fingerprint, ref, now})
+	c.suspects = append(c.suspects, suspect{place{fingerprint, u.Domain}, u.Ref(), now})
 }
 
 // gone counts a crash for each request whose connection to the upstream just broke, and
@@ -73,11 +86,14 @@
 		case now.Sub(s.at) > crashConfirm:
 		case s.upstream != ref:
 			kept = append(kept, s)
+		case now.Sub(c.counted[s.place]) < domainLoss:
 		case now.Sub(c.quarantine.Last(name(s.fingerprint), name(ref))) > crashConfirm:
+			c.counted[s.place] = now
 			counted = append(counted, c.quarantine.Crashed(now, name(s.fingerprint), name(ref)))
 		}
 	}
 	c.suspects = kept
+	maps.DeleteFunc(c.counted, func(_ place, at time.Time) bool { return now.Sub(at) >= domainLoss })
 	c.news = append(c.news, counted...)
 	return counted
 }
--- a/core/htrelay/relay_test.go
+++ b/core/htrelay/relay_test.go
@@ -194,17 +194,48 @@
 	}
 }
 
+// Guards against a proper request that is refused for minutes because the failure domain in
+// which its two sends were under way lost power, and against one that goes on crashing
+// upstreams because they are in one failure domain.
+func TestLostDomainIsNoCrashOfTheRequest(t *testing.T) {
+	upstream := func(id, domain string) htcatalog.Upstream { return htcatalog.Upstream{ID: id, Domain: domain} }
+	tests := []struct {
+		name   string
+		second htcatalog.Upstream
+		later  time.Duration // than the first crash
+		want   bool          // blocked
+	}{
+		{"at once in the same domain", upstream("u1", "a"), 10 * time.Millisecond, false},
+		{"at once in another domain", upstream("u1", "b"), 10 * time.Millisecond, true},
+		{"later in the same domain", upstream("u1", "a"), domainLoss, true},
+	}
+	for _, tt := range tests {
+		now := time.Unix(1000, 0)
+		c := newCrashes()
+		first := upstream("u0", "a")
+		c.broke(now, 5, first)
+		c.gone(now, first.Ref())
+		now = now.Add(tt.later)
+		c.broke(now, 5, tt.second)
+		c.gone(now, tt.second.Ref())
+		if got := c.blocked(now, 5); got != tt.want {
+			t.Errorf("%s: blocked %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
 // Guards against messages that outgrow a datagram after many crashes, against counting one
 // crash twice because two hosts or two callers saw it, and against telling it for ever.
 func TestCrashNews(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, b := newCrashes(), newCrashes()
+	lost := htcatalog.Upstream{ID: "u7", Domain: "a"}
 	for i := range 50 {
 		for _, c := range []*crashes{a, a, b} {
-			c.broke(now, uint64(i), 7)
+			c.broke(now, uint64(i), lost)
 		}
-		a.gone(now, 7)
-		b.gone(now.Add(time.Millisecond), 7)
+		a.gone(now, lost.Ref())
+		b.gone(now.Add(time.Millisecond), lost.Ref())
 		b.quarantine.Merge(now, a.recent(now))
 		if a.blocked(now, uint64(i)) || b.blocked(now, uint64(i)) {
 			t.Fatalf("request %d is blocked after one crash", i)
--- a/core/htrelay/settle.go
+++ b/core/htrelay/settle.go
@@ -47,7 +47,7 @@
 	case Broken:
 		fault.Weight = brokenWeight(call, now, reply)
 		if reply.Reset {
-			r.crashes.broke(now, call.fingerprint(), c.Upstream.Ref())
+			r.crashes.broke(now, call.fingerprint(), c.Upstream)
 			// The answer was lost, or the upstream has crashed.
 			go r.probe(ctx, c.Upstream)
 		}
