htback, htrelay: connections count as open when their upstream states a shorter idle time

Cause: an upstream that states a shorter idle time gets a new pool, whose count of open connections began at zero while connections of the old one were in use. The pools share the count now. TestIdleConnectionsEndBeforeTheUpstreamClosesThem checks it and failed before.

htrelay: the type of a request and its failure domain has a name that says so; nothing else changes.

--- a/core/htrelay/crash.go
+++ b/core/htrelay/crash.go
@@ -38,25 +38,25 @@
 type crashes struct {
 	quarantine *htroute.Quarantine
 	suspects   []suspect
-	counted    map[place]time.Time  // last crash that was counted there, for domainLoss
-	news       []htroute.CrashCount // seen by this host, oldest first
+	counted    map[requestDomain]time.Time // last crash that was counted there, for domainLoss
+	news       []htroute.CrashCount        // seen by this host, oldest first
 }
 
-// place is a request in a failure domain.
-type place struct {
+// requestDomain is a request together with a failure domain to which it was sent.
+type requestDomain struct {
 	fingerprint uint64
 	domain      string
 }
 
 // suspect is a request whose connection broke.
 type suspect struct {
-	place
+	requestDomain
 	upstream htcatalog.Ref
 	at       time.Time
 }
 
 func newCrashes() *crashes {
-	return &crashes{quarantine: htroute.NewQuarantine(crashThreshold, crashWindow), counted: map[place]time.Time{}}
+	return &crashes{quarantine: htroute.NewQuarantine(crashThreshold, crashWindow), counted: map[requestDomain]time.Time{}}
 }
 
 func name[T ~uint32 | ~uint64](id T) string { return strconv.FormatUint(uint64(id), 36) }
@@ -73,7 +73,7 @@
 	if len(c.suspects) >= maxSuspects {
 		c.suspects = c.suspects[1:]
 	}
-	c.suspects = append(c.suspects, suspect{place{fingerprint, u.Domain}, u.Ref(), now})
+	c.suspects = append(c.suspects, suspect{requestDomain{fingerprint, u.Domain}, u.Ref(), now})
 }
 
 // gone counts a crash for each request whose connection to the upstream just broke, and
@@ -86,14 +86,14 @@
 		case now.Sub(s.at) > crashConfirm:
 		case s.upstream != ref:
 			kept = append(kept, s)
-		case now.Sub(c.counted[s.place]) < domainLoss:
+		case now.Sub(c.counted[s.requestDomain]) < domainLoss:
 		case now.Sub(c.quarantine.Last(name(s.fingerprint), name(ref))) > crashConfirm:
-			c.counted[s.place] = now
+			c.counted[s.requestDomain] = now
 			counted = append(counted, c.quarantine.Crashed(now, name(s.fingerprint), name(ref)))
 		}
 	}
 	c.suspects = kept
-	maps.DeleteFunc(c.counted, func(_ place, at time.Time) bool { return now.Sub(at) >= domainLoss })
+	maps.DeleteFunc(c.counted, func(_ requestDomain, at time.Time) bool { return now.Sub(at) >= domainLoss })
 	c.news = append(c.news, counted...)
 	return counted
 }
--- a/io/htback/conns.go
+++ b/io/htback/conns.go
@@ -66,7 +66,7 @@
 	defer c.mu.Unlock()
 	p := c.ports[address]
 	if p == nil {
-		p = newPort(slots+c.settings.Spare, c.settings.Idle)
+		p = newPort(slots+c.settings.Spare, c.settings.Idle, &atomic.Int64{})
 		c.ports[address] = p
 	}
 	return p
@@ -80,7 +80,7 @@
 	if c.ports[address] != p { // another answer said so first, or the upstream is gone
 		return
 	}
-	c.ports[address] = newPort(p.most, idle)
+	c.ports[address] = newPort(p.most, idle, p.open)
 	p.pooled.CloseIdleConnections()
 }
 
@@ -130,11 +130,11 @@
 	fresh  *http.Transport
 	most   int
 	idle   time.Duration
-	open   atomic.Int64
+	open   *atomic.Int64 // shared with the port that this one replaces
 }
 
-func newPort(most int, idle time.Duration) *port {
-	p := &port{most: most, idle: idle}
+func newPort(most int, idle time.Duration, open *atomic.Int64) *port {
+	p := &port{most: most, idle: idle, open: open}
 	p.pooled = p.transport(most, idle)
 	p.fresh = p.transport(most, idle)
 	p.fresh.DisableKeepAlives = true
@@ -156,7 +156,7 @@
 				return nil, fmt.Errorf("%w: %w", htpath.ErrNotSent, err)
 			}
 			p.open.Add(1)
-			return &countedConn{Conn: conn, open: &p.open}, nil
+			return &countedConn{Conn: conn, open: p.open}, nil
 		},
 		MaxConnsPerHost:        most,
 		MaxIdleConnsPerHost:    most,
--- a/io/htback/idle_test.go
+++ b/io/htback/idle_test.go
@@ -31,6 +31,7 @@
 				if tt.stated != "" {
 					w.Header().Set("Keep-Alive", tt.stated)
 				}
+				_, _ = io.WriteString(w, "whole") // the connection is in use until it is read
 			}))
 			upstream.Config.ConnState = func(_ net.Conn, s http.ConnState) {
 				if s == http.StateNew {
@@ -49,6 +50,9 @@
 				if err != nil {
 					t.Fatal(err)
 				}
+				if n := conns.Open()[upstream.Listener.Addr().String()]; n < 1 {
+					t.Errorf("%d connections count as open while one is in use", n)
+				}
 				_, _ = io.Copy(io.Discard, response.Body)
 				_ = response.Body.Close()
 				time.Sleep(500 * time.Millisecond)
