htdispatch: keep the slots of a silent upstream until it answers

An upstream that is paused reads the requests of the pause when it wakes. Their slots were free again 5 ms after the deadlines, by the clock of the dispatcher, although the upstream counts its deadline from when it reads a request, so the requests of the pause and those sent since arrived together: four given up, one new, on four slots.

Ruled out: load.

Change: a request that is given up when its answer was overdue keeps its slot until the upstream answers something, and for the 250 ms of a cancellation more if it had answered nothing since the request was sent. A silent upstream is probed at once, within the budget. The state goes with a hand-over. Requests are no longer sent into a pause to be lost.

--- a/core/htdispatch/finish.go
+++ b/core/htdispatch/finish.go
@@ -17,10 +17,12 @@
 
 func (p *Pool) finish(now time.Time, f *flight, result Result) {
 	u := f.upstream
+	f.overdue = f.class.mean > 0 && float64(now.Sub(f.started)) > f.class.tail
 	switch r := result.(type) {
 	case Answered:
 		p.change(u, now, func() { p.learn(now, f, r) })
 		p.release(f, now)
+		p.live(u, now)
 	case Refused:
 		p.change(u, now, func() {
 			u.lower(now)
@@ -29,6 +31,7 @@
 			p.report(now, u, r.Report)
 		})
 		p.release(f, now)
+		p.live(u, now)
 	case NotSent:
 		if !r.Local {
 			p.change(u, now, func() { u.setDown(now, phaseDown) })
--- a/core/htdispatch/flight.go
+++ b/core/htdispatch/flight.go
@@ -13,6 +13,9 @@
 	until    time.Time // when a held slot becomes free
 	level    int       // requests in flight on the upstream at the start, with this one
 	held     bool
+	overdue  bool    // the answer was overdue when the request was given up
+	silent   bool    // held until the upstream shows that it lives
+	checked  bool    // the upstream has shown that it lives since
 	prev     *flight // older flight of the upstream that is not held
 	next     *flight
 	places   [1]int
--- a/core/htdispatch/handover.go
+++ b/core/htdispatch/handover.go
@@ -6,11 +6,13 @@
 	"hawthornturn/core/htresource"
 )
 
-// Occupied is a slot that is taken until a time at the latest.
+// Occupied is a slot that is taken until a time at the latest or, if the answer is
+// overdue, until the upstream shows after that time that it lives.
 type Occupied struct {
 	ID       string // of the request
 	Upstream string
 	Until    time.Time
+	Overdue  bool
 }
 
 // Proof is what answers have proved of an upstream.
@@ -41,7 +43,7 @@
 		if f.held {
 			until = f.until
 		}
-		all = append(all, Occupied{ID: f.id, Upstream: f.upstream.declared.Name, Until: until})
+		all = append(all, Occupied{ID: f.id, Upstream: f.upstream.declared.Name, Until: until, Overdue: f.overdue})
 	}
 	return all
 }
@@ -51,7 +53,7 @@
 func (p *Pool) Adopt(now time.Time, occupied []Occupied) {
 	p.advance(now)
 	for _, o := range occupied {
-		if !o.Until.After(now) {
+		if !o.Overdue && !o.Until.After(now) {
 			continue
 		}
 		u := p.upstreams[o.Upstream]
@@ -61,8 +63,13 @@
 		f := p.flights.add()
 		f.id = o.ID
 		f.upstream = u
+		f.started = now
 		f.deadline = o.Until
 		f.until = o.Until
+		if f.overdue = o.Overdue; f.overdue {
+			// The upstream may be declared only after this.
+			f.until = later(o.Until, now.Add(p.cfg.CancelGrace))
+		}
 		p.occupy(u, 1)
 		p.hold(f)
 		p.place(u, now)
--- a/core/htdispatch/pool.go
+++ b/core/htdispatch/pool.go
@@ -1,6 +1,7 @@
 package htdispatch
 
 import (
+	"slices"
 	"time"
 
 	"hawthornturn/core/htassert"
@@ -65,6 +66,7 @@
 			continue
 		}
 		p.change(u, now, func() { u.gone = true })
+		p.endSilence(u, now)
 		p.forget(u)
 	}
 	p.pump(now)
@@ -153,10 +155,13 @@
 // release frees the slot of f.
 func (p *Pool) release(f *flight, now time.Time) {
 	u := f.upstream
-	if f.held {
+	switch {
+	case f.silent:
+		u.silent = slices.DeleteFunc(u.silent, func(s *flight) bool { return s == f })
+	case f.held:
 		p.heldCount--
 		p.holds.remove(f)
-	} else {
+	default:
 		u.unlink(f)
 	}
 	p.flights.remove(f)
--- a/core/htdispatch/pool_test.go
+++ b/core/htdispatch/pool_test.go
@@ -30,6 +30,7 @@
 	refused map[string]htcall.Reason
 	probes  []string
 	fail    bool // probes fail
+	silent  bool // probes get no answer at all
 }
 
 func newScript(t *testing.T, cfg Config, declared ...htresource.Upstream) *script {
@@ -48,6 +49,9 @@
 			s.refused[v.Request.ID] = v.Reason
 		case Probe:
 			s.probes = append(s.probes, v.Upstream.Name)
+			if s.silent {
+				continue
+			}
 			s.take(s.p.ProbeDone(s.now, v.Upstream.Name, !s.fail, Report{State: StateWarm}))
 		}
 	}
@@ -61,6 +65,23 @@
 	return id
 }
 
+// probeAnswered brings the answer of a probe that is on its way, or of the next one.
+func (s *script) probeAnswered(name string) {
+	s.t.Helper()
+	for range 4 {
+		n := len(s.probes)
+		s.take(s.p.ProbeDone(s.now, name, true, Report{State: StateWarm}))
+		if len(s.p.upstreams[name].silent) == 0 {
+			return
+		}
+		for len(s.probes) == n {
+			s.now = s.p.NextTick(s.now)
+			s.take(s.p.Tick(s.now))
+		}
+	}
+	s.t.Fatalf("no probe of %s", name)
+}
+
 func (s *script) finish(id string, r Result) {
 	start, ok := s.running[id]
 	if !ok {
--- a/core/htdispatch/tick.go
+++ b/core/htdispatch/tick.go
@@ -46,7 +46,11 @@
 			break
 		}
 		u := f.upstream
-		p.release(f, now)
+		if silenced(f) {
+			p.silence(f)
+		} else {
+			p.release(f, now)
+		}
 		if !u.gone {
 			p.attend(u, now)
 		}
@@ -90,6 +94,13 @@
 	return a
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // probe starts a probe of u if one is needed and in the budget. It returns when to
 // look again, or the zero time.
 func (p *Pool) probe(u *upstream, now time.Time) time.Time {
@@ -108,6 +119,9 @@
 		if u.inFlight > 0 {
 			wanted = now.Add(p.cfg.ProbeAfter)
 		}
+		if len(u.silent) > 0 {
+			wanted = now
+		}
 	}
 	if u.bucket.next.After(wanted) {
 		wanted = u.bucket.next
@@ -157,4 +171,7 @@
 		}
 		p.report(now, u, r)
 	})
+	if ok {
+		p.live(u, now)
+	}
 }
--- a/core/htdispatch/upstream.go
+++ b/core/htdispatch/upstream.go
@@ -35,6 +35,8 @@
 	favoured   bool // cold, and due to get a request
 	lastUse    uint64
 	lastSign   time.Time // last answer, probe result or start
+	alive      time.Time // last time at which the upstream itself answered anything
+	silent     []*flight // flights whose answers were overdue and whose time has passed without a sign of life
 	oldest     *flight
 	newest     *flight
 	bucket     bucket
--- a/core/htpath/dispatcher.go
+++ b/core/htpath/dispatcher.go
@@ -309,7 +309,7 @@
 	d.perform(d.pool.Freeze(now))
 	var state PoolState
 	for _, o := range d.pool.Occupied() {
-		state.Occupied = append(state.Occupied, occupiedSlot{ID: o.ID, Upstream: o.Upstream, Remaining: o.Until.Sub(now)})
+		state.Occupied = append(state.Occupied, occupiedSlot{ID: o.ID, Upstream: o.Upstream, Remaining: o.Until.Sub(now), Overdue: o.Overdue})
 	}
 	state.Proofs, state.Times = d.pool.Proofs()
 	return state
@@ -322,7 +322,7 @@
 	now := d.now()
 	occupied := make([]htdispatch.Occupied, len(state.Occupied))
 	for i, o := range state.Occupied {
-		occupied[i] = htdispatch.Occupied{ID: o.ID, Upstream: o.Upstream, Until: now.Add(o.Remaining)}
+		occupied[i] = htdispatch.Occupied{ID: o.ID, Upstream: o.Upstream, Until: now.Add(o.Remaining), Overdue: o.Overdue}
 	}
 	d.pool.Adopt(now, occupied)
 	d.perform(d.pool.Trust(now, state.Proofs, state.Times))
--- a/core/htpath/shards.go
+++ b/core/htpath/shards.go
@@ -126,6 +126,7 @@
 	ID        string        `cbor:"id"`
 	Upstream  string        `cbor:"upstream"`
 	Remaining time.Duration `cbor:"remaining"`
+	Overdue   bool          `cbor:"overdue,omitempty"`
 }
 
 // Collect implements htview.Handover.
