htentry: tell other hosts of a crash at once

Cause: crash counts went with beats, every 500 ms, although the loss of the upstream itself is told within 8 ms. Copies of a crashing request through other hosts could take down more upstreams in that time.

Change: a counted crash is told like a fault. Beats still repeat it, so a lost datagram delays it as before.

Test: TestCrashIsToldAtOnce fails before.

--- a/io/htentry/decide.go
+++ b/io/htentry/decide.go
@@ -131,9 +131,11 @@
 	}).Info("upstream is avoided for some seconds")
 }
 
-// Crashed implements htrelay.Events.
-func (*Entry) Crashed(c htroute.CrashCount) {
+// Crashed implements htrelay.Events. The others are told at once: copies of a request that
+// crashes upstreams may be on their way to other hosts.
+func (e *Entry) Crashed(c htroute.CrashCount) {
 	logrus.WithFields(logrus.Fields{
 		htlog.FieldEvent: "crash-counted", "fingerprint": c.Fingerprint, "upstream-ref": c.Reporter, "crashes": c.Count,
 	}).Warn("an upstream went down while it ran a request")
+	e.tell(change{crash: &c})
 }
--- a/io/htentry/hub.go
+++ b/io/htentry/hub.go
@@ -9,6 +9,7 @@
 
 	"hawthornturn/core/htcatalog"
 	"hawthornturn/core/htgroup"
+	"hawthornturn/core/htroute"
 	"hawthornturn/core/htselect"
 	"hawthornturn/io/htgossip"
 )
@@ -27,11 +28,12 @@
 	bundleSize = 24
 )
 
-// change is something that other hosts are told at once: an upstream that is gone, or a
-// fault.
+// change is something that other hosts are told at once: an upstream that is gone, a fault
+// or a crash.
 type change struct {
 	gone  htcatalog.Ref
 	fault *htselect.Fault
+	crash *htroute.CrashCount
 }
 
 func (e *Entry) tell(c change) {
@@ -61,14 +63,17 @@
 func (e *Entry) gather(first change) htgossip.Message {
 	m := e.newMessage()
 	add := func(c change) {
-		if c.fault != nil {
+		switch {
+		case c.fault != nil:
 			m.Faults = append(m.Faults, htgossip.Fault{Upstream: c.fault.Upstream, Percent: uint8(100 * c.fault.Weight)})
-			return
+		case c.crash != nil:
+			m.Crashes = append(m.Crashes, *c.crash)
+		default:
+			m.Gone = append(m.Gone, c.gone)
 		}
-		m.Gone = append(m.Gone, c.gone)
 	}
 	add(first)
-	for len(e.changes) > 0 && len(m.Gone)+len(m.Faults) < maxChanges/8 {
+	for len(e.changes) > 0 && len(m.Gone)+len(m.Faults)+len(m.Crashes) < maxChanges/8 {
 		add(<-e.changes)
 	}
 	return m
--- a/io/htentry/hub_test.go
+++ b/io/htentry/hub_test.go
@@ -8,6 +8,7 @@
 
 	"hawthornturn/core/htgroup"
 	"hawthornturn/core/htmirror"
+	"hawthornturn/core/htroute"
 	"hawthornturn/core/httime"
 	"hawthornturn/io/htgossip"
 )
@@ -90,3 +91,21 @@
 		})
 	}
 }
+
+// Guards against copies of a request that crash upstreams through other hosts until the
+// next beat tells of the first crash.
+func TestCrashIsToldAtOnce(t *testing.T) {
+	e := newTestEntry(testMember(1, 10))
+	e.changes = make(chan change, maxChanges)
+	count := htroute.CrashCount{Fingerprint: "f", Reporter: "r", Count: 1, Last: testStart}
+	e.Crashed(count)
+	select {
+	case c := <-e.changes:
+		m := e.gather(c)
+		if len(m.Crashes) != 1 || m.Crashes[0] != count || len(m.Gone) != 0 || !e.hasNews(&m) {
+			t.Errorf("the others are told %+v", m)
+		}
+	default:
+		t.Error("the others are not told of a crash")
+	}
+}
