htgroup: beat less often where hosts are many

Change: hubs and readers of the store beat as before, since they are to be missed soon. Of the others only the number matters: they beat as often as keeps what each host receives below 3.75 KB/s, twice a second up to 34 hosts, every 2 s at 123, every 7 s at 407. A beat says when the next one comes, and a host is silent after three of them. A host with crashes to repeat, or that was a deputy a moment ago, beats at once. A host that starts asks all members that it learned of, so that it does not take its part of the bounds for larger than it is.

Ruled out: beats by hubs about their domains only (the number of hosts by domain would do for budgets, but ranks, readers and store contact need the hosts themselves).

--- /dev/null
+++ b/core/htgroup/beat.go
@@ -0,0 +1,46 @@
+package htgroup
+
+import "time"
+
+const (
+	// BeatPeriod is the time between the beats of a host with a duty, by way of the hub, and
+	// of every host while they are few.
+	BeatPeriod = 500 * time.Millisecond
+	// maxBeatPeriod bounds the time between beats, so that a lost host is noticed within
+	// half a minute. It is reached at some 600 hosts.
+	maxBeatPeriod = 10 * time.Second
+	// BeatSize is what one beat adds to the datagrams that a host receives, in bytes.
+	BeatSize = 56
+	// beatRate bounds what a host receives in beats, in bytes a second. Control may take
+	// 4 KB/s; the rest is left to news. The hub of a failure domain sends as much to each
+	// host there.
+	beatRate = 3840
+	// leastRest is the share of beatRate that is left to hosts without a duty, however many
+	// hubs there are.
+	leastRest = 0.25
+	// missedBeats is how many beats may be lost until a host counts as silent, with a margin
+	// of beatMargin for the way through the hubs.
+	missedBeats = 3
+	beatMargin  = 100 * time.Millisecond
+)
+
+// BeatPeriod returns the time between the beats that this host sends to all others. Hubs and
+// readers of the store are to be missed soon. Of the others only the number matters, so that
+// they beat less often where they are many: all beats reach every host.
+func (g *Group) BeatPeriod(now time.Time) time.Duration {
+	hub, far := g.Hubs(now)
+	if hub.Address == g.self.Address || recent(now, g.peers[g.self.Address].storeSeen, StoreLimit) {
+		return BeatPeriod
+	}
+	duties := 1 + len(far) + readers
+	rest := max(beatRate-float64(duties)*BeatSize/BeatPeriod.Seconds(), leastRest*beatRate)
+	seconds := float64(g.Size(now)-duties) * BeatSize / rest
+	period := time.Duration(seconds * float64(time.Second))
+	// Beats come at multiples of the shortest period.
+	return min(max(period.Truncate(BeatPeriod)+BeatPeriod, BeatPeriod), maxBeatPeriod)
+}
+
+// silenceLimit returns how long a host may be silent that said when its next beat comes.
+func silenceLimit(next time.Duration) time.Duration {
+	return missedBeats*min(max(next, BeatPeriod), maxBeatPeriod) + beatMargin
+}
--- a/core/htgroup/group.go
+++ b/core/htgroup/group.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// SilenceLimit is how long a host may be silent until it no longer counts as running.
-	// It is three beats by way of the hub, so that lost datagrams or the loss of a hub
-	// move nothing.
-	SilenceLimit = 1600 * time.Millisecond
+	// SilenceLimit is how long a host with a duty may be silent until it no longer counts as
+	// running. It is three beats by way of the hub, so that lost datagrams or the loss of a
+	// hub move nothing. The limit of a host that beats less often is as many of its beats.
+	SilenceLimit = missedBeats*BeatPeriod + beatMargin
 	// HubLimit is how long a hub may be silent before another host takes its place. It
 	// is shorter than SilenceLimit: while a hub is lost, the hosts of its failure domain
 	// hear nothing of the others and must not take them for lost too.
@@ -45,10 +45,11 @@
 type peer struct {
 	Member
 	hash      uint64
-	heard     time.Time // its newest message, whichever way it came
-	direct    time.Time // the last datagram that it sent to this host itself
-	hubSeen   time.Time // the last datagram that it sent here for its failure domain
-	storeSeen time.Time // its last answer from the store
+	heard     time.Time     // its newest message, whichever way it came
+	limit     time.Duration // of its silence
+	direct    time.Time     // the last datagram that it sent to this host itself
+	hubSeen   time.Time     // the last datagram that it sent here for its failure domain
+	storeSeen time.Time     // its last answer from the store
 	leaving   bool
 }
 
@@ -79,12 +80,14 @@
 }
 
 // Heard notes a message from a host. StoreAge is the age of its last answer from the
-// store, or negative if it has none. It reports whether the host counted as silent.
-func (g *Group) Heard(now time.Time, m Member, storeAge time.Duration, leaving bool) bool {
+// store, or negative if it has none, and next is the time until its next beat. It reports
+// whether the host counted as silent.
+func (g *Group) Heard(now time.Time, m Member, storeAge, next time.Duration, leaving bool) bool {
 	g.Add(m)
 	p := g.peers[m.Address]
 	silent := !p.alive(now)
 	p.heard = now
+	p.limit = silenceLimit(next)
 	p.Capacity = m.Capacity
 	if m.Domain != "" {
 		p.Domain = m.Domain
@@ -124,7 +127,7 @@
 }
 
 func (p *peer) alive(now time.Time) bool {
-	return recent(now, p.heard, SilenceLimit)
+	return recent(now, p.heard, p.limit)
 }
 
 // running lists the hosts that hold duties, this one included.
@@ -142,7 +145,7 @@
 func (g *Group) Size(now time.Time) int { return len(g.running(now)) }
 
 // Others returns the members other than this host, running ones first. Quiet ones
-// are those that were not heard within the silence limit.
+// are those that were not heard within their silence limit.
 func (g *Group) Others(now time.Time) (running, quiet []Member) {
 	for _, p := range g.peers {
 		switch {
--- a/core/htgroup/group_test.go
+++ b/core/htgroup/group_test.go
@@ -32,7 +32,7 @@
 	for i, g := range list {
 		for j, o := range list {
 			if i != j && !down[i] && !down[j] {
-				g.Heard(now, o.self, o.StoreAge(now), false)
+				g.Heard(now, o.self, o.StoreAge(now), BeatPeriod, false)
 				g.Datagram(now, o.self.Address, false)
 			}
 		}
@@ -163,7 +163,7 @@
 		strong := list[3].self
 		strong.Capacity = 80
 		if i != 3 {
-			g.Heard(start, strong, -1, false)
+			g.Heard(start, strong, -1, BeatPeriod, false)
 			g.Datagram(start, strong.Address, false)
 		} else {
 			g.peers[g.self.Address].Capacity = strong.Capacity
@@ -236,7 +236,7 @@
 				m.Capacity = 80
 			}
 			if g != o {
-				g.Heard(start, m, -1, false)
+				g.Heard(start, m, -1, BeatPeriod, false)
 			} else {
 				g.peers[m.Address].Capacity = m.Capacity
 			}
@@ -248,3 +248,60 @@
 		}
 	}
 }
+
+// Guards against beats that take more of the network than control may, at the size to design
+// for, and against duties whose holder is missed late where hosts are many.
+func TestBeatsStayWithinTheirRate(t *testing.T) {
+	const controlRate = 4 << 10 // bytes a second that control may take of each host
+	for _, n := range []int{3, 30, 123, 407} {
+		list := make([]*Group, n)
+		for i := range list {
+			m := member(i%250+1, []string{"a", "b", "c"}[i%3])
+			m.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7600)
+			list[i] = New(m, start)
+		}
+		list[n-1].StoreAnswered(start)
+		meet(list, start, nil)
+		bytes, hubs := 0.0, map[netip.AddrPort]bool{}
+		for _, g := range list {
+			hub, _ := g.Hubs(start)
+			hubs[hub.Address] = true
+			period := g.BeatPeriod(start)
+			bytes += BeatSize / period.Seconds()
+			if duty := hub == g.self || g == list[n-1]; duty && period != BeatPeriod {
+				t.Errorf("%d hosts: one with a duty beats every %v", n, period)
+			}
+			if period > maxBeatPeriod || period%BeatPeriod != 0 || (n <= 30 && period != BeatPeriod) {
+				t.Errorf("%d hosts: one beats every %v", n, period)
+			}
+		}
+		if bytes > controlRate {
+			t.Errorf("%d hosts: each receives %.0f bytes of beats a second, want at most %d", n, bytes, controlRate)
+		}
+		if len(hubs) != 3 {
+			t.Errorf("%d hosts: hubs are %v", n, hubs)
+		}
+	}
+}
+
+// Guards against hosts that count as lost between two of their beats, and against duties of a
+// lost host that nobody takes up.
+func TestSilenceFollowsTheBeats(t *testing.T) {
+	g, slow, fast := New(member(1, "a"), start), member(2, "a"), member(3, "a")
+	g.Heard(start, slow, -1, 4*time.Second, false)
+	g.Heard(start, fast, -1, 0, false)
+	tests := []struct {
+		after   time.Duration
+		running int
+	}{
+		{SilenceLimit - time.Millisecond, 3},
+		{SilenceLimit, 2},
+		{3*4*time.Second + beatMargin - time.Millisecond, 2},
+		{3*4*time.Second + beatMargin, 1},
+	}
+	for _, tt := range tests {
+		if got := g.Size(start.Add(tt.after)); got != tt.running {
+			t.Errorf("after %v %d hosts run, want %d", tt.after, got, tt.running)
+		}
+	}
+}
--- a/io/htentry/beat.go
+++ b/io/htentry/beat.go
@@ -17,9 +17,9 @@
 	// beatPeriod is the time between the signs of life that hubs and their deputies send
 	// directly. Two may be lost before another host becomes the hub.
 	beatPeriod = 250 * time.Millisecond
-	// farBeats is how many beats pass between those that go to all hosts, by way of the
-	// hub.
-	farBeats = 2
+	// farBeats is how many beats pass between two looks whether one is due that goes to all
+	// hosts, by way of the hub.
+	farBeats = int(htgroup.BeatPeriod / beatPeriod)
 	// quietBeats is how many beats pass between tries to reach silent hosts.
 	quietBeats = 4
 	// forgetAfter is how long a silent host is tried.
@@ -35,8 +35,9 @@
 func (e *Entry) beat(ctx context.Context) error {
 	tick := e.timers.Subscribe("beat", beatPeriod)
 	defer tick.Stop()
-	e.spread(e.newBeat())
+	e.spread(e.newBeat(farBeat))
 	e.beatQuiet()
+	due, often := farBeats, false
 	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -51,7 +52,11 @@
 			e.beatNear()
 		}
 		if n%farBeats == 0 {
-			e.spread(e.newBeat())
+			// The hosts that heard a deputy often are told that its beats become rare.
+			if n >= due || e.hurries() || (often && !deputy) {
+				due = n + e.beatAgain()
+			}
+			often = deputy
 			e.expire()
 		}
 		if n%quietBeats == 0 && (deputy || alone) {
@@ -60,6 +65,25 @@
 	}
 }
 
+// beatAgain sends a beat to all hosts. It returns the number of beat periods until the next
+// one.
+func (e *Entry) beatAgain() int {
+	m := e.newBeat(farBeat)
+	e.spread(m)
+	return max(farBeats, int(m.Status.NextBeat()/beatPeriod))
+}
+
+// hurries reports whether this host beats often: it has a duty, or crashes that it counted
+// are repeated for hosts that missed them.
+func (e *Entry) hurries() bool {
+	if len(e.relay.Crashes()) > 0 {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.group.BeatPeriod(e.timers.Now()) == htgroup.BeatPeriod
+}
+
 // expire forgets lost hosts and drops lapsed upstreams whose grace is over.
 func (e *Entry) expire() {
 	now := e.timers.Now()
@@ -81,7 +105,7 @@
 // hub, to the others.
 func (e *Entry) beatAll() {
 	e.beatNear()
-	e.spread(e.newBeat())
+	e.spread(e.newBeat(farBeat))
 }
 
 // beatQuiet asks silent hosts whether they run.
@@ -92,7 +116,7 @@
 	if len(quiet) == 0 {
 		return
 	}
-	m := e.newBeat()
+	m := e.newBeat(farBeat)
 	m.Status.Asks = true
 	m.Status.Name = e.settings.Self.Name
 	e.transmit(htgossip.ScopeNone, []htgossip.Message{m}, quiet)
@@ -103,16 +127,29 @@
 	e.mu.Lock()
 	near := e.group.Near(e.timers.Now())
 	e.mu.Unlock()
-	e.transmit(htgossip.ScopeNone, []htgossip.Message{e.newBeat()}, near)
+	e.transmit(htgossip.ScopeNone, []htgossip.Message{e.newBeat(nearBeat)}, near)
 }
 
-func (e *Entry) newBeat() htgossip.Message {
+// way is how a beat goes: by way of the hub, or directly to the hosts of a failure domain,
+// which hear the next one of a deputy soon.
+type way int
+
+const (
+	farBeat way = iota
+	nearBeat
+)
+
+func (e *Entry) newBeat(w way) htgossip.Message {
 	now := e.timers.Now()
 	m := e.newMessage()
 	m.Crashes = e.relay.Crashes()
 	status := &htgossip.Status{Domain: e.settings.Self.Domain, Capacity: e.settings.Self.Capacity, Store: -1, Leaving: e.stopping.Load()}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	often := w == nearBeat && e.group.Deputy(now)
+	if period := e.group.BeatPeriod(now); !often && period > htgroup.BeatPeriod {
+		status.Next = period.Milliseconds()
+	}
 	status.Versions = e.mirror.Versions()
 	if age := e.group.StoreAge(now); age >= 0 {
 		status.Store = age.Milliseconds()
@@ -155,7 +192,7 @@
 // answer sends a beat to a host that has just started. The others hear of it by its own
 // beats.
 func (e *Entry) answer(to netip.AddrPort) {
-	e.transmit(htgossip.ScopeNone, []htgossip.Message{e.newBeat()}, []htgroup.Member{{Address: to}})
+	e.transmit(htgossip.ScopeNone, []htgossip.Message{e.newBeat(farBeat)}, []htgroup.Member{{Address: to}})
 }
 
 // newer reports whether a message is newer than the last one of its origin. Messages
@@ -198,7 +235,7 @@
 // heard takes in a sign of life.
 func (e *Entry) heard(now time.Time, origin, from netip.AddrPort, s *htgossip.Status) {
 	e.mu.Lock()
-	silent := e.group.Heard(now, htgroup.Member{Name: s.Name, Address: origin, Domain: s.Domain, Capacity: s.Capacity}, s.StoreAge(), s.Leaving)
+	silent := e.group.Heard(now, htgroup.Member{Name: s.Name, Address: origin, Domain: s.Domain, Capacity: s.Capacity}, s.StoreAge(), s.NextBeat(), s.Leaving)
 	behind := e.mirror.Versions().Behind(s.Versions) && e.fetchNow(now, origin, from)
 	e.mu.Unlock()
 	if silent {
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -220,6 +220,11 @@
 		}
 	}
 	e.mu.Unlock()
+	if len(rows.Members) > 0 {
+		// Their next beats may be seconds away, and this host's part of the bounds follows
+		// from how many it has heard.
+		e.beatQuiet()
+	}
 	if changed || !e.complete.Load() {
 		e.rowsChanged()
 	}
--- a/io/htentry/hub_test.go
+++ b/io/htentry/hub_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +28,7 @@
 	}
 	e.mirror.Apply(testStart, htmirror.Delta{Version: 3, Rows: []htmirror.Row{{Key: "config", Version: 3}}})
 	for _, m := range others {
-		e.group.Heard(testStart, m, -1, false)
+		e.group.Heard(testStart, m, -1, htgroup.BeatPeriod, false)
 		e.group.Datagram(testStart, m.Address, false)
 	}
 	return e
@@ -109,3 +110,23 @@
 		t.Error("the others are not told of a crash")
 	}
 }
+
+// Guards against beats that are larger than the size by which hosts choose how often they
+// beat.
+func TestBeatSize(t *testing.T) {
+	e := newTestEntry(testMember(1, 10))
+	e.settings.Self.Domain = "domain-a"
+	beat := htgossip.Message{Origin: 1<<32 - 1, Incarnation: 1<<32 - 1, Sequence: 1 << 20, Status: &htgossip.Status{
+		Domain: e.settings.Self.Domain, Versions: htmirror.Versions{1 << 20, 1 << 20}, Store: -1, Capacity: 100, Next: 10_000,
+	}}
+	size := func(n int) int {
+		data, err := (&htgossip.Datagram{Scope: htgossip.ScopeDomain, Messages: slices.Repeat([]htgossip.Message{beat}, n)}).Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(data)
+	}
+	if got := size(bundleSize) - size(bundleSize-1); got > htgroup.BeatSize {
+		t.Errorf("a beat takes %d bytes, want at most %d", got, htgroup.BeatSize)
+	}
+}
--- a/io/htgossip/message.go
+++ b/io/htgossip/message.go
@@ -54,12 +54,16 @@
 	Leaving  bool              `cbor:"5,keyasint,omitempty"`
 	Capacity int               `cbor:"7,keyasint,omitempty"`
 	Asks     bool              `cbor:"6,keyasint,omitempty"` // the host wants an answer, since it may have just started
+	Next     int64             `cbor:"8,keyasint,omitempty"` // time until its next beat in ms, or 0 for the usual one
 }
 
 // StoreAge returns the age of the host's last answer from the store, or a negative value
 // if it has none.
 func (s *Status) StoreAge() time.Duration { return time.Duration(s.Store) * time.Millisecond }
 
+// NextBeat returns the time until the host's next beat, or zero for the usual one.
+func (s *Status) NextBeat() time.Duration { return time.Duration(s.Next) * time.Millisecond }
+
 // Peer is the short name of a host: its IPv4 address.
 type Peer uint32
 
@@ -95,6 +99,9 @@
 // errVersion means that a message names an impossible version.
 var errVersion = errors.New("message has a negative version")
 
+// errBeat means that a host says that its next beat was before this one.
+var errBeat = errors.New("message has a negative time until the next beat")
+
 // errTable means that rows are of an unknown table or have an impossible version.
 var errTable = errors.New("rows of an unknown table or version")
 
@@ -119,6 +126,9 @@
 	if m.Status == nil {
 		return nil
 	}
+	if m.Status.Next < 0 {
+		return errBeat
+	}
 	for _, v := range m.Status.Versions {
 		if v < 0 {
 			return errVersion
