htentry: read changes of the store together

Change: 150 ms instead of 50 ms between a change and the next poll. The first change after a pause is told at once, as before.

--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -19,8 +19,9 @@
 	// notice is found out after it; the bound on configuration is 2 s.
 	LongestPoll = 900 * time.Millisecond
 	// gatherPause is the time after a change before the next poll, so that changes that
-	// come one after the other cost one call together.
-	gatherPause = 50 * time.Millisecond
+	// come one after the other cost one call together. Upstreams register and turn warm
+	// in numbers; the bound on changes is 2 s.
+	gatherPause = 150 * time.Millisecond
 	// dutyPeriod is the time between looks at who reads the store.
 	dutyPeriod = 100 * time.Millisecond
 	// retryPeriod is the time between tries of the first hosts in rank while the store
