htdispatch: judge once whether an answer was overdue

A second result of a request that was given up, such as the end of its cancelled connection, made its answer count as overdue although it was not when it was given up. Found by reading; the test of the early leave now ends the connection too.

--- a/core/htdispatch/finish.go
+++ b/core/htdispatch/finish.go
@@ -4,7 +4,8 @@
 
 // Finish says how a started request ended. Answered, Refused and NotSent free the
 // slot; Broken and Abandoned keep it until the deadline of the Start has passed, or,
-// if the request was cancelled, until the upstream has surely noticed.
+// if the request was cancelled, until the upstream has surely noticed. If the answer was
+// overdue, the upstream must also have shown since that it lives.
 // An Answered for a kept slot frees it earlier.
 func (p *Pool) Finish(now time.Time, t Ticket, result Result) []Action {
 	p.advance(now)
@@ -17,7 +18,9 @@
 
 func (p *Pool) finish(now time.Time, f *flight, result Result) {
 	u := f.upstream
-	f.overdue = f.class.mean > 0 && float64(now.Sub(f.started)) > f.class.tail
+	if !f.held {
+		f.overdue = f.class.mean > 0 && float64(now.Sub(f.started)) > f.class.tail
+	}
 	switch r := result.(type) {
 	case Answered:
 		p.change(u, now, func() { p.learn(now, f, r) })
--- a/core/htdispatch/silence_test.go
+++ b/core/htdispatch/silence_test.go
@@ -74,8 +74,11 @@
 	s.silent = true
 	id := s.offer("a")
 	s.wait(ms)
+	start := s.running[id]
 	s.finish(id, Abandoned{})
-	s.wait(255 * ms)
+	s.wait(100 * ms)
+	s.take(s.p.Finish(s.now, start.Ticket, Broken{})) // the end of the cancelled connection
+	s.wait(155 * ms)
 	s.check("taken", s.upstream("u0").InFlight, 0)
 }
 
