--- a/core/htdispatch/dump.go
+++ b/core/htdispatch/dump.go
@@ -36,6 +36,7 @@
 	Slots     int       `json:"slots"`
 	Allowed   int       `json:"allowed"`
 	InFlight  int       `json:"in-flight"`
+	Silent    int       `json:"silent"` // of these, overdue ones that were given up; kept until it answers something
 	Coldness  float64   `json:"coldness"`
 	ColdSince time.Time `json:"cold-since"`
 	Probes    int64     `json:"probes"`
@@ -70,6 +71,7 @@
 			Slots:     u.declared.Slots,
 			Allowed:   u.allowed,
 			InFlight:  u.inFlight,
+			Silent:    len(u.silent),
 			Coldness:  u.coldness,
 			ColdSince: u.coldSince,
 			Probes:    u.bucket.taken,
--- a/core/htdispatch/silence_test.go
+++ b/core/htdispatch/silence_test.go
@@ -38,6 +38,7 @@
 			s.wait(2 * time.Second)
 			s.check("started on a silent upstream", s.running[next].Ticket, Ticket(0))
 			s.check("slots taken", s.upstream("u0").InFlight, 4)
+			s.check("slots taken by overdue requests", s.upstream("u0").Silent, 4)
 			s.silent, s.fail = false, false
 			s.probeAnswered("u0")
 			next = s.offer("b")
