--- a/core/htdispatch/silence_test.go
+++ b/core/htdispatch/silence_test.go
@@ -11,15 +11,15 @@
 // time passed during the pause reach it when it wakes, beside those that were sent since.
 // Seen as over-slots=1 in the script pause-upstream.
 func TestSilentUpstreamKeepsItsSlotsTaken(t *testing.T) {
+	const cancelGrace = 250 * ms // Config.CancelGrace
 	tests := []struct {
 		name   string
 		result Result
 		after  time.Duration // from the start of the requests to their end
-		frees  time.Duration // from the sign of life to the first start
 	}{
-		{"deadline passed", Abandoned{DeadlinePassed: true}, 10 * time.Second, 250 * ms},
-		{"connection timed out", Broken{Silent: true}, 5 * time.Second, 250 * ms},
-		{"callers left overdue answers", Abandoned{}, time.Second, 250 * ms},
+		{"deadline passed", Abandoned{DeadlinePassed: true}, 10 * time.Second},
+		{"connection timed out", Broken{Silent: true}, 5 * time.Second},
+		{"callers left overdue answers", Abandoned{}, time.Second},
 	}
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
@@ -42,7 +42,7 @@
 			s.silent, s.fail = false, false
 			s.probeAnswered("u0")
 			next = s.offer("b")
-			s.wait(v.frees - ms)
+			s.wait(cancelGrace - ms)
 			s.check("started before the requests of the pause ended", s.running[next].Ticket, Ticket(0))
 			s.wait(ms)
 			s.check("started after the silence", s.running[next].Request.ID, next)
