htview, htpath: report ends after a planned stop to the new owners

It sent the reports of calls that ended after the hand-over to itself, rejected them for 5 s and dropped them. A copy of such a booking was told unknown (owner-lost); every planned stop under load took 5 s longer. Calls that the host still held were routed to itself as well. Owner and View now use the newest view without a host that has stopped.

A report that reaches a new owner before it has installed the shard is kept there until then, since the reporting host may stop first.

--- a/core/htonce/owner.go
+++ b/core/htonce/owner.go
@@ -127,6 +127,17 @@
 	return r.finalDecision(), false
 }
 
+// AwaitsResult reports whether the call of a key was pending at an earlier owner that has
+// not reported its result.
+func (o *Owner) AwaitsResult(service, key string) bool {
+	p, ok := o.partitions[htview.KeyShard(service, key)]
+	if !ok {
+		return false
+	}
+	r, ok := p.records[recordID{service: service, key: key}]
+	return ok && r.HandedOver && r.State == Unknown
+}
+
 // Expire drops the records whose retention period has passed.
 func (o *Owner) Expire(now time.Time) {
 	limit := now.Add(-o.cfg.Retention).UnixMilli()
--- a/core/htpath/keys.go
+++ b/core/htpath/keys.go
@@ -29,6 +29,7 @@
 	router    *Router
 	owner     *htonce.Owner
 	runs      map[keyID]*keyRun
+	early     earlyReports[KeyResult]
 }
 
 type keyID struct {
@@ -162,14 +163,17 @@
 }
 
 // HandleKeyResult records how a call ended that the previous owner of the partition
-// had in flight during the hand-over.
+// had in flight during the hand-over. A result for a partition that is not installed yet is
+// kept until then. The error makes the previous owner repeat it, since another host may
+// become the owner.
 func (k *KeyOwner) HandleKeyResult(result KeyResult) error {
 	if !result.Outcome.Valid() {
 		return fmt.Errorf("unknown outcome %q", result.Outcome)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.ownership.Serving(htview.KeyShard(result.Service, result.Key)) {
+	if shard := htview.KeyShard(result.Service, result.Key); !k.ownership.Serving(shard) {
+		k.early.add(k.now(), shard, result.Service+"\x00"+result.Key, result)
 		return errors.New("partition of the key is not served by this host")
 	}
 	k.owner.Finish(k.now(), result.Service, result.Key, result.Outcome, result.Reason, result.Answer)
@@ -191,6 +195,11 @@
 	if err := k.owner.Install(k.now(), shard, state); err != nil {
 		logrus.WithFields(logrus.Fields{"event": "handover-decode-failed", "shard": shard.String(), "error": err}).Error("could not decode the key records from the previous owner")
 	}
+	for _, r := range k.early.take(k.now(), shard) {
+		if k.owner.AwaitsResult(r.Service, r.Key) {
+			k.owner.Finish(k.now(), r.Service, r.Key, r.Outcome, r.Reason, r.Answer)
+		}
+	}
 }
 
 // Drop stops serving a partition and discards its records.
--- a/core/htpath/shards.go
+++ b/core/htpath/shards.go
@@ -28,6 +28,7 @@
 	set         *htresource.Set
 	leaving     map[string]bool // names of upstreams that the host list marks as leaving
 	dispatchers map[htview.Shard]*Dispatcher
+	early       earlyReports[SlotRelease]
 }
 
 // NewShards returns Shards without dispatchers. Bind must be called before use.
@@ -180,8 +181,12 @@
 	d.SetUpstreams(upstreams, out)
 	d.Adopt(inherited)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.dispatchers[shard] = d
+	early := s.early.take(s.now(), shard)
+	s.mu.Unlock()
+	for _, release := range early {
+		d.ReleaseAdopted(release.ID)
+	}
 }
 
 // Drop implements htview.Handover. It stops serving the shard and discards its state.
@@ -196,13 +201,19 @@
 }
 
 // HandleSlotRelease processes the report of a previous owner that a request has ended
-// that was in flight there during the hand-over.
+// that was in flight there during the hand-over. A report for a shard that is not installed
+// yet is kept until then. The error makes the previous owner repeat it.
 func (s *Shards) HandleSlotRelease(release SlotRelease) error {
 	shard, err := htview.ParseShard(release.Shard)
 	if err != nil {
 		return err
 	}
-	d := s.Dispatcher(shard)
+	s.mu.Lock()
+	d := s.dispatchers[shard]
+	if d == nil {
+		s.early.add(s.now(), shard, release.ID, release)
+	}
+	s.mu.Unlock()
 	if d == nil {
 		return fmt.Errorf("shard %s is not served by this host", shard)
 	}
--- a/core/htview/manager.go
+++ b/core/htview/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -169,16 +170,38 @@
 	return m.self
 }
 
-// View returns the active view of this host.
+// View returns the view by which calls are routed: the active view or, after a planned
+// stop, the newest view without this host.
 func (m *Manager) View() View {
+	view, _ := m.routingView()
+	return view
+}
+
+// routingView returns the view by which calls are routed, and whether it is the active
+// view. After a planned stop, this host adopts no view any more and serves nothing; calls
+// that are still in flight here, and the reports of their ends, then go to the owners in
+// the newest view without this host.
+func (m *Manager) routingView() (View, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.view
+	if m.phase != stopped {
+		return m.view, true
+	}
+	if !slices.Contains(m.newest.Members, m.self) {
+		return m.newest, false
+	}
+	successors := m.newest.Without(m.self.Host)
+	successors.Number = m.newest.Number // no such view has been committed
+	return successors, false
 }
 
-// Owner returns the owner of the shard in the active view.
+// Owner returns the owner of the shard in the view by which calls are routed.
 func (m *Manager) Owner(s Shard) (Member, bool) {
-	return m.owners.owner(m.View(), s)
+	view, active := m.routingView()
+	if !active {
+		return view.Owner(s) // not cached: its number may be that of a view with other members
+	}
+	return m.owners.owner(view, s)
 }
 
 // Serving reports whether this host may serve the shard now: it owns the shard, no
--- a/core/htview/manager_test.go
+++ b/core/htview/manager_test.go
@@ -225,6 +225,37 @@
 	})
 }
 
+// TestStoppedHostRoutesToSuccessors guards against a stopped host that takes itself for the
+// owner of its former shards: reports of calls that ended after the hand-over reached no
+// new owner, and calls that it had accepted found no dispatcher.
+func TestStoppedHostRoutesToSuccessors(t *testing.T) {
+	for _, tableState := range []struct {
+		name string
+		down bool
+	}{{"left the view", false}, {"table down", true}} {
+		t.Run(tableState.name, func(t *testing.T) {
+			runInCluster(t, 3, func(c *cluster, hosts []*host) {
+				if tableState.down {
+					c.setTables(tableDown)
+				}
+				left := hosts[0].m.Leave(context.Background())
+				if (left != nil) != tableState.down {
+					t.Fatalf("leave: %v", left)
+				}
+				c.run(200 * time.Millisecond)
+				self := hosts[0].m.Self()
+				for _, s := range c.shards() {
+					got, ok := hosts[0].m.Owner(s)
+					want, _ := hosts[1].m.View().Without(self.Host).Owner(s)
+					if !ok || got != want {
+						t.Fatalf("%s: the stopped host takes %q for the owner, want %q", s, got.Host, want.Host)
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestLeaveDuringOutage guards against a stopped host whose missing hold prevents the
 // other hosts from extending their leases, and against the loss of its state once the
 // table is reachable again.
