platform, htcatalog: leave out what can't be used and hold the rest

A route that can't be used keeps its prefix and refuses its requests, so that no other route's service runs them.

--- a/core/htcatalog/config.go
+++ b/core/htcatalog/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	LeftOut  htfinding.List // parts that could not be used when the configuration was decoded
 }
 
 // Route maps requests, by host name and path prefix, to the services that run them.
@@ -54,6 +56,39 @@
 
 // Check returns the errors of the configuration.
 func (c *Config) Check() htfinding.List {
+	found, _ := c.checkRoutes()
+	return found
+}
+
+// LeaveOutInvalid leaves out the routes that can't be used, and returns what is left out
+// with the places. A route with a valid host and prefix is kept without parts: its requests
+// are refused and don't match a shorter prefix, whose service may be another one. It returns
+// an error if no route can be used.
+func (c *Config) LeaveOutInvalid() (htfinding.List, error) {
+	found, usable := c.checkRoutes()
+	found = append(slices.Clone(c.LeftOut), found...)
+	declared := len(c.Routes)
+	kept := make([]Route, 0, declared)
+	left := 0
+	for i, r := range c.Routes {
+		if usable[i] {
+			left++
+		} else {
+			r.Parts = nil
+		}
+		if r.Host != "" && validPrefix(r.Prefix) {
+			kept = append(kept, r)
+		}
+	}
+	if left == 0 && len(found) > 0 {
+		return nil, fmt.Errorf("none of %d routes can be used: %w", declared, found)
+	}
+	c.Routes = kept
+	return found, nil
+}
+
+// checkRoutes returns the errors and, by route, whether it can be used.
+func (c *Config) checkRoutes() (htfinding.List, []bool) {
 	var found htfinding.List
 	known := map[string]bool{}
 	for _, s := range c.Services {
@@ -62,17 +97,24 @@
 		}
 		known[s.Name] = true
 	}
+	usable := make([]bool, len(c.Routes))
 	for i, r := range c.Routes {
+		before := len(found)
 		r.check(&found, fmt.Sprintf("routes[%d]", i), known)
+		usable[i] = len(found) == before
 	}
-	return found
+	return found, usable
+}
+
+func validPrefix(prefix string) bool {
+	return strings.HasPrefix(prefix, "/") && strings.HasSuffix(prefix, "/")
 }
 
 func (r Route) check(found *htfinding.List, field string, known map[string]bool) {
 	if r.Host == "" {
 		found.Addf(field, "route %q has no host", r.Name)
 	}
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+	if !validPrefix(r.Prefix) {
 		found.Addf(field, "prefix %q of route %q must begin and end with a slash", r.Prefix, r.Name)
 	}
 	if r.Timeout <= 0 {
--- a/io/htentry/catalog.go
+++ b/io/htentry/catalog.go
@@ -128,16 +128,23 @@
 	return decodedRow{version: r.Version, declaration: declaration}
 }
 
-// adoptConfig puts a configuration into force if it is valid and newer than the current one.
+// adoptConfig puts a configuration into force if it is newer than the current one. Parts that
+// can't be used are left out and logged; a configuration of which no route can be used is
+// refused.
 func (e *Entry) adoptConfig(config *htcatalog.Config) {
-	if e.config != nil && config.Version <= e.config.Version {
+	if config == e.refusedConfig || e.config != nil && config.Version <= e.config.Version {
 		return
 	}
-	if err := config.Check().Err(); err != nil {
-		logrus.WithFields(logrus.Fields{"event": "config-refused", "version": config.Version, "in-force": configVersion(e.config)}).
-			WithError(err).Error("configuration is invalid; the earlier one stays in force")
+	fields := logrus.Fields{"version": config.Version, "in-force": configVersion(e.config)}
+	leftOut, err := config.LeaveOutInvalid()
+	if err != nil {
+		e.refusedConfig = config
+		logrus.WithFields(fields).WithField("event", "config-refused").WithError(err).Error("configuration is invalid; the earlier one stays in force")
 		return
 	}
+	if err := leftOut.Err(); err != nil {
+		logrus.WithFields(fields).WithField("event", "config-incomplete").WithError(err).Warn("parts of the configuration can't be used and are left out")
+	}
 	logrus.WithFields(logrus.Fields{"event": "config-applied", "version": config.Version, "before": configVersion(e.config)}).Info("configuration in force")
 	e.config = config
 }
