platform, htmemory, htrelay: bound bodies, heed leaving and Retry-After

Cause: four calls to an upstream whose body has no end grew the heap by 711 MB, and each answer was cut at 64 MiB and passed on as whole.

Server-Leaving ends new calls and probes to that incarnation at once, here and, by a message, on the other hosts; it is remembered for 10 minutes, also if the row vanishes and comes back. A 503 with Retry-After pauses calls and probes of this host; if all upstreams are paused, callers are refused with the shortest pause.

Numbers in header fields have bounds.

Ruled out by tests: header, chunk extension, trailer and interim responses without end, fast or dripping, are ended by net/http's bounds or the deadline.

--- a/core/htcall/outcome.go
+++ b/core/htcall/outcome.go
@@ -24,6 +24,7 @@
 const (
 	ReasonNone           Reason = ""
 	ReasonQueueFull      Reason = "queue-full"       // not-run
+	ReasonNoMemory       Reason = "no-memory"        // not-run; the bodies of other calls take the memory of the host
 	ReasonDeadline       Reason = "deadline"         // not-run if nothing was sent, else unknown
 	ReasonNoUpstream     Reason = "no-upstream"      // not-run
 	ReasonDomainOut      Reason = "domain-out"       // not-run
--- /dev/null
+++ b/core/htmemory/lease.go
@@ -0,0 +1,178 @@
+package htmemory
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+)
+
+// Errors of ReadAll. Other errors are those of the reader.
+var (
+	ErrTooLarge = errors.New("body exceeds the limit")
+	ErrNoMemory = errors.New("no memory is left for bodies")
+)
+
+// Sizes in bytes in which a body is read. They double from the smallest to the largest.
+const (
+	minSegmentBytes = 1 << 10
+	maxSegmentBytes = 256 << 10
+)
+
+// Lease is the part of a Budget that one call holds. All of it is returned when the last
+// holder has released it: a send may continue after the caller has left. A nil Lease has no
+// bound. It is safe for concurrent use.
+type Lease struct {
+	budget  *Budget
+	mu      sync.Mutex
+	holders int
+	bytes   int64
+}
+
+// NewLease returns a Lease of no bytes with one holder. A nil Budget returns a nil Lease.
+func (b *Budget) NewLease() *Lease {
+	if b == nil {
+		return nil
+	}
+	return &Lease{budget: b, holders: 1}
+}
+
+// Retain adds a holder.
+func (l *Lease) Retain() {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holders++
+}
+
+// Release removes a holder, and returns the bytes to the budget if it is the last one.
+func (l *Lease) Release() {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.holders--; l.holders == 0 {
+		l.budget.release(l.bytes)
+		l.bytes = 0
+	}
+}
+
+// reserve adds n bytes to the lease and reports whether the budget had them.
+func (l *Lease) reserve(n int64) bool {
+	if l == nil {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.budget.reserve(n) {
+		return false
+	}
+	l.bytes += n
+	return true
+}
+
+// ReadAll reads a body of at most limit bytes. A length of at least 0 is the declared one,
+// for which all memory is reserved first. The error wraps ErrTooLarge or ErrNoMemory if the
+// body is not read for one of these reasons; a part of a body is never returned.
+func (l *Lease) ReadAll(r io.Reader, length, limit int64) ([]byte, error) {
+	switch {
+	case length > limit:
+		return nil, fmt.Errorf("%w: %d bytes are declared, the most is %d", ErrTooLarge, length, limit)
+	case length >= 0:
+		return l.readDeclared(r, length)
+	}
+	return l.readToEnd(r, limit)
+}
+
+// readDeclared reads a body of a declared length. The memory is allocated as the bytes
+// arrive: a peer that declares much and sends little holds little.
+func (l *Lease) readDeclared(r io.Reader, length int64) ([]byte, error) {
+	if !l.reserve(length) {
+		return nil, fmt.Errorf("%w: %d bytes", ErrNoMemory, length)
+	}
+	if length <= maxSegmentBytes {
+		body := make([]byte, length)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return nil, unexpectedEnd(err)
+		}
+		return expectEnd(r, body)
+	}
+	body := make([]byte, 0, maxSegmentBytes)
+	for int64(len(body)) < length {
+		if len(body) == cap(body) {
+			grown := make([]byte, len(body), min(2*int64(cap(body)), length))
+			copy(grown, body)
+			body = grown
+		}
+		n, err := r.Read(body[len(body):min(int64(cap(body)), length)])
+		body = body[:len(body)+n]
+		if err != nil && int64(len(body)) < length {
+			return nil, unexpectedEnd(err)
+		}
+	}
+	return expectEnd(r, body)
+}
+
+// expectEnd returns a body whose reader is at its end. Reading up to that makes its
+// connection free for another request.
+func expectEnd(r io.Reader, body []byte) ([]byte, error) {
+	var more [1]byte
+	switch n, err := io.ReadFull(r, more[:]); {
+	case n > 0:
+		return nil, fmt.Errorf("%w: it continues after its declared length", ErrTooLarge)
+	case !errors.Is(err, io.EOF):
+		return nil, err
+	}
+	return body, nil
+}
+
+func unexpectedEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readToEnd reads a body of unknown length in segments, each reserved before it is allocated.
+func (l *Lease) readToEnd(r io.Reader, limit int64) ([]byte, error) {
+	var segments [][]byte
+	var segment []byte
+	total := int64(0)
+	for {
+		if len(segment) == cap(segment) {
+			if len(segment) > 0 {
+				segments = append(segments, segment)
+			}
+			size := min(max(2*cap(segment), minSegmentBytes), maxSegmentBytes)
+			if !l.reserve(int64(size)) {
+				return nil, fmt.Errorf("%w: after %d bytes of a body without a length", ErrNoMemory, total)
+			}
+			segment = make([]byte, 0, size)
+		}
+		n, err := r.Read(segment[len(segment):cap(segment)])
+		segment = segment[:len(segment)+n]
+		if total += int64(n); total > limit {
+			return nil, fmt.Errorf("%w of %d bytes", ErrTooLarge, limit)
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return join(append(segments, segment), total), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+func join(segments [][]byte, total int64) []byte {
+	if len(segments) == 1 {
+		return segments[0]
+	}
+	body := make([]byte, 0, total)
+	for _, s := range segments {
+		body = append(body, s...)
+	}
+	return body
+}
--- /dev/null
+++ b/core/htmemory/lease_test.go
@@ -0,0 +1,110 @@
+package htmemory
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"runtime"
+	"testing"
+	"testing/iotest"
+)
+
+// endless returns zeros without end.
+type endless struct{}
+
+// Read implements io.Reader.
+func (endless) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// Guards against bodies that are shortened, that hold more memory than their budget, or that
+// count as whole although their connection was cut.
+func TestReadAll(t *testing.T) {
+	const budget, limit = 4 << 20, 1 << 20
+	large := bytes.Repeat([]byte("0123456789abcdef"), limit/16)
+	cut := errors.New("reset")
+	tests := []struct {
+		name   string
+		body   io.Reader
+		length int64
+		want   []byte
+		err    error
+	}{
+		{"empty", bytes.NewReader(nil), 0, []byte{}, nil},
+		{"empty without a length", bytes.NewReader(nil), -1, []byte{}, nil},
+		{"short", bytes.NewReader(large[:5]), 5, large[:5], nil},
+		{"byte by byte", iotest.OneByteReader(bytes.NewReader(large[:5000])), -1, large[:5000], nil},
+		{"data with the end", iotest.DataErrReader(bytes.NewReader(large[:5000])), -1, large[:5000], nil},
+		{"as long as the limit", bytes.NewReader(large), limit, large, nil},
+		{"as long as the limit, without a length", bytes.NewReader(large), -1, large, nil},
+		{"longer than the limit", bytes.NewReader(large), limit + 1, nil, ErrTooLarge},
+		{"longer than the limit, without a length", io.MultiReader(bytes.NewReader(large), bytes.NewReader(large[:1])), -1, nil, ErrTooLarge},
+		{"endless", endless{}, -1, nil, ErrTooLarge},
+		{"longer than declared", bytes.NewReader(large[:6]), 5, nil, ErrTooLarge},
+		{"shorter than declared", bytes.NewReader(large[:4]), 5, nil, io.ErrUnexpectedEOF},
+		{"large and shorter than declared", bytes.NewReader(large[:4]), limit, nil, io.ErrUnexpectedEOF},
+		{"cut", io.MultiReader(bytes.NewReader(large[:4]), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, nil, io.ErrUnexpectedEOF},
+		{"reset", io.MultiReader(bytes.NewReader(large[:4]), iotest.ErrReader(cut)), limit, nil, cut},
+	}
+	for _, tt := range tests {
+		b := NewBudget(budget)
+		l := b.NewLease()
+		got, err := l.ReadAll(tt.body, tt.length, limit)
+		if !errors.Is(err, tt.err) || !bytes.Equal(got, tt.want) {
+			t.Errorf("%s: %d bytes, error %v; want %d bytes, error %v", tt.name, len(got), err, len(tt.want), tt.err)
+		}
+		if int64(len(got)) > b.Used() {
+			t.Errorf("%s: %d bytes are held, %d are counted", tt.name, len(got), b.Used())
+		}
+		if l.Release(); b.Used() != 0 {
+			t.Errorf("%s: %d bytes are counted after the release", tt.name, b.Used())
+		}
+	}
+}
+
+// Guards against calls that together hold more than the budget, and against memory that is
+// counted as free while a send still uses it.
+func TestBudgetIsShared(t *testing.T) {
+	b := NewBudget(100)
+	first, second := b.NewLease(), b.NewLease()
+	if _, err := first.ReadAll(bytes.NewReader(make([]byte, 60)), 60, 100); err != nil {
+		t.Fatal(err)
+	}
+	first.Retain()
+	first.Release()
+	if _, err := second.ReadAll(bytes.NewReader(make([]byte, 60)), 60, 100); !errors.Is(err, ErrNoMemory) {
+		t.Errorf("error %v while the first body is held, want %v", err, ErrNoMemory)
+	}
+	first.Release()
+	if _, err := second.ReadAll(bytes.NewReader(make([]byte, 60)), 60, 100); err != nil {
+		t.Errorf("error %v after the first body was released", err)
+	}
+	if _, err := second.ReadAll(endless{}, -1, 100); !errors.Is(err, ErrNoMemory) {
+		t.Errorf("error %v for an endless body, want %v", err, ErrNoMemory)
+	}
+}
+
+// Guards against a peer that declares a large body and sends nothing of it.
+func TestDeclaredBodyIsAllocatedAsItArrives(t *testing.T) {
+	const declared = 1 << 30
+	l := NewBudget(declared).NewLease()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := l.ReadAll(bytes.NewReader(make([]byte, 10)), declared, declared)
+	runtime.ReadMemStats(&after)
+	if allocated := after.TotalAlloc - before.TotalAlloc; !errors.Is(err, io.ErrUnexpectedEOF) || allocated > 8*maxSegmentBytes {
+		t.Errorf("%d bytes allocated for a body of 10 bytes, error %v", allocated, err)
+	}
+}
+
+// Guards against calls without a budget that fail, as in tests of other packages.
+func TestNilLease(t *testing.T) {
+	var b *Budget
+	l := b.NewLease()
+	l.Retain()
+	l.Release()
+	if body, err := l.ReadAll(bytes.NewReader([]byte("x")), 1, 1); err != nil || string(body) != "x" {
+		t.Errorf("body %q, error %v", body, err)
+	}
+}
--- a/core/htrelay/call.go
+++ b/core/htrelay/call.go
@@ -8,6 +8,7 @@
 
 	"hawthornturn/core/htcall"
 	"hawthornturn/core/htcatalog"
+	"hawthornturn/core/htmemory"
 	"hawthornturn/core/htselect"
 )
 
@@ -26,6 +27,8 @@
 	FirstAttempt time.Time
 	// CallerTimeout is the time that the caller has left, or 0 if it sent no timeout.
 	CallerTimeout time.Duration
+	// Memory holds the body and the answers of the call; nil means that they are not bounded.
+	Memory *htmemory.Lease
 }
 
 // fingerprint identifies the request for crash counting. A retry of the same request has
--- a/core/htrelay/fakes_test.go
+++ b/core/htrelay/fakes_test.go
@@ -161,6 +161,20 @@
 	e.changes = append(e.changes, u.ID+" "+before.State()+"-"+after.State())
 }
 
+// UpstreamLeaving implements Events.
+func (e *events) UpstreamLeaving(u htcatalog.Upstream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.changes = append(e.changes, u.ID+" leaving")
+}
+
+// UpstreamPaused implements Events.
+func (e *events) UpstreamPaused(u htcatalog.Upstream, pause time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.changes = append(e.changes, u.ID+" paused "+pause.String())
+}
+
 // Crashed implements Events.
 func (e *events) Crashed(htroute.CrashCount) {
 	e.mu.Lock()
--- a/core/htrelay/port.go
+++ b/core/htrelay/port.go
@@ -27,13 +27,15 @@
 	Header http.Header
 	Body   []byte
 	Report *htselect.Observation // nil if the answer carries no load
-	Work   time.Duration         // from sending the request to the end of the answer
+	Notice htselect.Notice
+	Work   time.Duration // from sending the request to the end of the answer
 }
 
 // Refused means that the upstream reported that it did not run the call.
 type Refused struct {
 	Misdirected bool // the address belongs to another upstream
 	Report      *htselect.Observation
+	Notice      htselect.Notice
 }
 
 // NotSent means that no byte of the call left this host.
@@ -72,6 +74,10 @@
 	UpstreamDown(u htcatalog.Upstream, err error, gone bool)
 	// UpstreamChanged reports that the State of an upstream changed.
 	UpstreamChanged(u htcatalog.Upstream, before, after htselect.Observation)
+	// UpstreamLeaving reports an upstream that announced its leaving to this host.
+	UpstreamLeaving(u htcatalog.Upstream)
+	// UpstreamPaused reports an upstream that has asked this host for no calls for a time.
+	UpstreamPaused(u htcatalog.Upstream, pause time.Duration)
 	// UpstreamFault reports a fault that other hosts should know of. Avoided means that it
 	// makes the upstream count as faulty.
 	UpstreamFault(u htcatalog.Upstream, f htselect.Fault, avoided bool)
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -59,9 +59,13 @@
 	before, _ := r.selector.Report(o.Upstream)
 	differs := r.selector.Observe(at, o)
 	after, _ := r.selector.Report(o.Upstream)
-	if u, known := r.selector.Upstream(o.Upstream); known && after.State() != before.State() {
+	u, known := r.selector.Upstream(o.Upstream)
+	if known && after.State() != before.State() {
 		r.events.UpstreamChanged(u, before, after)
 	}
+	if known {
+		r.heed(at, u, o.Notice)
+	}
 	if o.Gone {
 		for _, c := range r.crashes.upstreamGone(at, o.Upstream) {
 			r.events.Crashed(c)
@@ -75,6 +79,26 @@
 	r.dispatchAll()
 }
 
+// heed records a notice of an upstream and reports it. The caller holds r.mu.
+func (r *Relay) heed(now time.Time, u htcatalog.Upstream, n htselect.Notice) {
+	if n == (htselect.Notice{}) {
+		return
+	}
+	if r.selector.Heed(now, htselect.IncarnationOf(u), n) {
+		r.events.UpstreamLeaving(u)
+	}
+	if n.Pause > 0 {
+		r.events.UpstreamPaused(u, n.Pause)
+	}
+}
+
+// LeavingElsewhere records that an upstream announced its leaving to another host.
+func (r *Relay) LeavingElsewhere(of htselect.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.selector.Heed(r.now(), of, htselect.Notice{Leaving: true})
+}
+
 // trackRun records that a run has a send in flight at an upstream, and untrackRun that it
 // has ended. The caller holds r.mu.
 func (r *Relay) trackRun(ref htcatalog.Ref, call *run) {
--- a/core/htrelay/result.go
+++ b/core/htrelay/result.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"hawthornturn/core/htmemory"
 	"hawthornturn/core/htselect"
 )
 
@@ -21,6 +22,7 @@
 	switch reply := reply.(type) {
 	case Answered:
 		report = reply.Report
+		r.heed(now, c.Upstream, reply.Notice)
 		switch {
 		case reply.Status == http.StatusGatewayTimeout:
 			fault.Weight = htselect.FaultTimeout
@@ -32,6 +34,7 @@
 		}
 	case Refused:
 		report = reply.Report
+		r.heed(now, c.Upstream, reply.Notice)
 		r.selector.CallRefused(now, c)
 		if reply.Misdirected {
 			r.selector.Misdirected(c)
@@ -65,9 +68,10 @@
 }
 
 // brokenFaultWeight returns the fault weight of a send that ended without an answer. A
-// canceled send says nothing about the upstream and has weight 0.
+// canceled send, or one whose answer this host has no memory for, says nothing about the
+// upstream and has weight 0.
 func brokenFaultWeight(call *Call, now time.Time, reply Broken) float64 {
-	if errors.Is(reply.Err, context.Canceled) {
+	if errors.Is(reply.Err, context.Canceled) || errors.Is(reply.Err, htmemory.ErrNoMemory) {
 		return 0
 	}
 	if now.Before(call.Deadline) {
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -170,7 +170,9 @@
 	r.lastChoice = choice
 	r.lastSent = r.relay.now()
 	r.reportDecision(Sent{Choice: choice, Cause: cause, Number: r.sends, Left: r.call.Deadline.Sub(r.lastSent)})
+	r.call.Memory.Retain()
 	go func() {
+		defer r.call.Memory.Release()
 		start := r.relay.now()
 		reply := r.relay.sender.Send(ctx, choice.Upstream, r.call.Deadline, r.call)
 		if unusable(reply) {
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -104,6 +104,7 @@
 	bestFresh := false
 	full, cold := false, false
 	wait := maxRetryAfter
+	var pauseEnd time.Time // of the first upstream that has asked for a pause
 	considered, aperture := 0, s.aperture(now, sv)
 	for _, u := range sv.upstreams {
 		if !s.usable(u) || slices.Contains(tried, u.declared.ID) {
@@ -119,6 +120,12 @@
 				continue
 			}
 		}
+		if u.paused(now) {
+			if pauseEnd.IsZero() || u.pausedUntil.Before(pauseEnd) {
+				pauseEnd = u.pausedUntil
+			}
+			continue
+		}
 		load := u.load(now)
 		// Calls wait on their host, which serves the most urgent first and may still choose
 		// another upstream. Some upstreams never answer a request that they can't queue.
@@ -138,6 +145,9 @@
 		return nil, &Refused{Reason: htcall.ReasonQueueFull, RetryAfter: wait, Transient: true}
 	case best == nil && cold:
 		return nil, &Refused{Reason: htcall.ReasonColdLimit, RetryAfter: wait, Transient: true}
+	case best == nil && !pauseEnd.IsZero():
+		pause := pauseEnd.Sub(now)
+		return nil, &Refused{Reason: htcall.ReasonRefused, RetryAfter: pause, Transient: pause < minRetryAfter}
 	case best == nil:
 		return nil, &Refused{Reason: htcall.ReasonNoUpstream, RetryAfter: maxRetryAfter}
 	}
@@ -169,10 +179,7 @@
 
 // usable reports whether u may get calls at all.
 func (s *Selector) usable(u *upstream) bool {
-	if u.declared.Draining || u.addressReused || s.catalog.DomainsOut[u.declared.Domain] {
-		return false
-	}
-	return !u.report.Down
+	return s.wantsCalls(u) && !u.report.Down
 }
 
 func (u *upstream) slots() int {
--- a/core/htselect/counts.go
+++ b/core/htselect/counts.go
@@ -12,11 +12,11 @@
 type UpstreamCounts struct {
 	Upstreams int `json:"upstreams"`
 	Out       int `json:"out"`      // in a failure domain that operators took out of service
-	Draining  int `json:"draining"` // or another upstream answers at the address
+	Draining  int `json:"draining"` // leaving, or another upstream answers at the address
 	Down      int `json:"down"`
 	Tried     int `json:"tried"`  // already tried by the same call
 	Cold      int `json:"cold"`   // cold, and the cold limit allows this host no call now
-	Paused    int `json:"paused"` // refused a call less than refusalPause ago
+	Paused    int `json:"paused"` // refused a call less than refusalPause ago, or has asked for a pause
 	Full      int `json:"full"`
 	Busy      int `json:"busy"` // one more call may slow it down
 	Free      int `json:"free"`
@@ -35,7 +35,7 @@
 		switch {
 		case s.catalog.DomainsOut[u.declared.Domain]:
 			c.Out++
-		case u.declared.Draining || u.addressReused:
+		case !s.wantsCalls(u):
 			c.Draining++
 		case u.report.Down:
 			c.Down++
@@ -43,7 +43,7 @@
 			c.Tried++
 		case u.cold(now) && s.coldWait(now, u, sv.declared) > 0:
 			c.Cold++
-		case now.Before(u.avoidUntil):
+		case now.Before(u.avoidUntil) || u.paused(now):
 			c.Paused++
 		case u.load(now) >= float64(u.slots()):
 			c.Full++
--- a/core/htselect/dump.go
+++ b/core/htselect/dump.go
@@ -12,6 +12,8 @@
 	Service        string  `json:"service"`
 	Domain         string  `json:"failure-domain"`
 	Draining       bool    `json:"draining"`
+	Leaving        bool    `json:"leaving"`   // it announced its leaving in an answer
+	PausedMS       int64   `json:"paused-ms"` // remaining time for which it has asked for no calls
 	Down           bool    `json:"down"`
 	Unhealthy      bool    `json:"ill"`
 	ColdMS         int64   `json:"cold-ms"`
@@ -31,6 +33,8 @@
 			Service:        u.declared.Service,
 			Domain:         u.declared.Domain,
 			Draining:       u.declared.Draining,
+			Leaving:        u.leaving,
+			PausedMS:       max(0, u.pausedUntil.Sub(now).Milliseconds()),
 			Down:           u.report.Down,
 			Unhealthy:      u.report.Unhealthy,
 			ColdMS:         max(0, u.coldUntil.Sub(now).Milliseconds()),
--- /dev/null
+++ b/core/htselect/notice.go
@@ -0,0 +1,61 @@
+package htselect
+
+import (
+	"time"
+
+	"hawthornturn/core/htcatalog"
+)
+
+// leavingMemory is how long an incarnation that announced its leaving is remembered after
+// that. Its row may vanish and come back meanwhile, as after an outage of the store.
+const leavingMemory = 10 * time.Minute
+
+// Notice is what an upstream asks of the hosts beside an answer. The zero value asks nothing.
+type Notice struct {
+	Leaving bool          // no new calls from any host, until its next incarnation
+	Pause   time.Duration // no calls from this host for this time
+}
+
+// Incarnation identifies one start of an upstream.
+type Incarnation struct {
+	Upstream htcatalog.Ref
+	Started  int64
+}
+
+// IncarnationOf returns the incarnation of a declared upstream.
+func IncarnationOf(u htcatalog.Upstream) Incarnation { return Incarnation{u.Ref(), u.Started} }
+
+// Heed records a notice of an incarnation. It reports whether the upstream is known and now
+// leaving for the first time.
+func (s *Selector) Heed(now time.Time, of Incarnation, n Notice) bool {
+	u := s.byRef[of.Upstream]
+	if u == nil || u.declared.Started != of.Started {
+		return false
+	}
+	if until := now.Add(n.Pause); n.Pause > 0 && until.After(u.pausedUntil) {
+		u.pausedUntil = until
+	}
+	if !n.Leaving || u.leaving {
+		return false
+	}
+	u.leaving = true
+	s.leaving[of] = now
+	return true
+}
+
+// forgetLeaving removes the incarnations that announced their leaving long ago.
+func (s *Selector) forgetLeaving(now time.Time) {
+	for of, at := range s.leaving {
+		if now.Sub(at) > leavingMemory {
+			delete(s.leaving, of)
+		}
+	}
+}
+
+// wantsCalls reports whether the upstream itself and the operators let it get calls.
+func (s *Selector) wantsCalls(u *upstream) bool {
+	return !u.declared.Draining && !u.leaving && !u.addressReused && !s.catalog.DomainsOut[u.declared.Domain]
+}
+
+// paused reports whether the upstream has asked this host for no calls at now.
+func (u *upstream) paused(now time.Time) bool { return now.Before(u.pausedUntil) }
--- a/core/htselect/observation.go
+++ b/core/htselect/observation.go
@@ -18,6 +18,7 @@
 	Down            bool          // the upstream accepts no connection or does not answer
 	Gone            bool          // down for all hosts: nothing listens at the address, or another upstream does
 	Unhealthy       bool          // its health path reports a failure
+	Notice          Notice
 }
 
 // State returns the availability of the upstream: down, cold, ill or usable.
--- a/core/htselect/probe.go
+++ b/core/htselect/probe.go
@@ -138,7 +138,7 @@
 
 // probeable reports whether u could get calls, so that a probe is useful.
 func (s *Selector) probeable(now time.Time, u *upstream) bool {
-	if u.declared.Draining || u.addressReused || s.catalog.DomainsOut[u.declared.Domain] {
+	if !s.wantsCalls(u) || u.paused(now) {
 		return false
 	}
 	if u.report.Down && now.Sub(u.reportedAt) < u.downPause {
@@ -151,7 +151,7 @@
 // report is older than age. It spends a probe token.
 func (s *Selector) ReprobeDue(now time.Time, c *Choice, age time.Duration) bool {
 	u := c.state
-	if now.Sub(u.reportedAt) < age || now.Sub(u.probedAt) < age || u.report.Down || !s.spendProbe(now) {
+	if now.Sub(u.reportedAt) < age || now.Sub(u.probedAt) < age || u.report.Down || u.paused(now) || !s.spendProbe(now) {
 		return false
 	}
 	u.probedAt = now
@@ -162,7 +162,7 @@
 // fast and not busy, so that no other probe result is needed.
 func (s *Selector) GoodLocal(now time.Time, ref htcatalog.Ref) bool {
 	u := s.byRef[ref]
-	if u == nil || !u.fresh(now) || u.report.Down || u.report.Unhealthy || u.cold(now) || u.declared.Domain != s.domain {
+	if u == nil || !u.fresh(now) || !s.usable(u) || u.paused(now) || u.report.Unhealthy || u.cold(now) || u.declared.Domain != s.domain {
 		return false
 	}
 	return u.workTimeFactor(now) <= maxGoodFactor && !u.busy(u.load(now)) && u.fault(now) < faultyThreshold
--- a/core/htselect/selector.go
+++ b/core/htselect/selector.go
@@ -24,6 +24,7 @@
 	byRef     map[htcatalog.Ref]*upstream
 	services  map[string]*service
 	routes    map[string]*route
+	leaving   map[Incarnation]time.Time // when incarnations announced their leaving
 	retry     RetryLimit
 
 	probesPerSecond float64 // per upstream, summed over all hosts
@@ -62,6 +63,7 @@
 		byRef:     map[htcatalog.Ref]*upstream{},
 		services:  map[string]*service{},
 		routes:    map[string]*route{},
+		leaving:   map[Incarnation]time.Time{},
 		retry:     limits.Retry,
 
 		probesPerSecond: limits.ProbesPerSecond,
@@ -88,6 +90,7 @@
 		u := s.upstreams[d.ID]
 		if u == nil || u.declared.Started != d.Started || u.declared.Address != d.Address {
 			u = newUpstream(now, d, s.rng.Float64())
+			_, u.leaving = s.leaving[IncarnationOf(d)]
 		}
 		u.declared = d
 		kept[d.ID] = u
@@ -100,6 +103,7 @@
 		s.sortUpstreams(sv)
 	}
 	s.upstreams = kept
+	s.forgetLeaving(now)
 }
 
 func (s *Selector) service(now time.Time, d htcatalog.Service) *service {
--- a/core/htselect/upstream.go
+++ b/core/htselect/upstream.go
@@ -41,6 +41,8 @@
 	coldUntil     time.Time
 	coldSent      time.Time // last call of this host while the upstream was cold
 	avoidUntil    time.Time // no calls until then, after a refusal
+	pausedUntil   time.Time // no calls or probes until then, as the upstream has asked
+	leaving       bool      // this incarnation announced its leaving
 	faults        float64
 	faultsAt      time.Time
 	addressReused bool // another upstream answers at its address
--- a/io/htback/conns.go
+++ b/io/htback/conns.go
@@ -24,6 +24,10 @@
 // connection that the upstream is closing.
 const idleTimeoutShare = 0.8
 
+// maxKeepAliveSeconds is the largest timeout in a Keep-Alive header field that is taken
+// into account. A larger one does not shorten any idle timeout, and may overflow a duration.
+const maxKeepAliveSeconds = 24 * 60 * 60
+
 // ConnSettings bound the connections to each upstream.
 type ConnSettings struct {
 	IdleTimeout time.Duration // idle connections are closed after this time, or sooner if the upstream's Keep-Alive field requires it
@@ -94,7 +98,7 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if seconds, err := strconv.ParseFloat(value, 64); err == nil && seconds > 0 {
+		if seconds, err := strconv.ParseFloat(value, 64); err == nil && seconds > 0 && seconds <= maxKeepAliveSeconds {
 			return time.Duration(idleTimeoutShare * seconds * float64(time.Second)), true
 		}
 	}
--- a/io/htback/idle_test.go
+++ b/io/htback/idle_test.go
@@ -23,6 +23,7 @@
 		{"half a second", "timeout=0.5, max=100", 3},
 		{"not a number", "timeout=soon", 1},
 		{"zero", "timeout=0", 1},
+		{"beyond the range of a duration", "timeout=1e300", 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/io/htentry/entry.go
+++ b/io/htentry/entry.go
@@ -16,6 +16,7 @@
 
 	"hawthornturn/core/htcatalog"
 	"hawthornturn/core/htgroup"
+	"hawthornturn/core/htmemory"
 	"hawthornturn/core/htmirror"
 	"hawthornturn/core/htrelay"
 	"hawthornturn/core/htselect"
@@ -33,6 +34,7 @@
 	ReadyPath      string
 	MetricsAddress string // additional listen address for metrics; if empty, they are served only at the address for other hosts
 	Limits         htselect.Limits
+	BodyMemory     int64         // bytes for the bodies of all calls in flight; 0: not bounded
 	GracePeriod    time.Duration // from SIGTERM to SIGKILL
 	// FirstStart is set on the first start of the whole system, when no host has a row in the
 	// store yet.
@@ -72,6 +74,7 @@
 	deps     Dependencies
 	timers   *httime.Service
 	relay    *htrelay.Relay
+	memory   *htmemory.Budget
 
 	mu                sync.Mutex // guards the fields below
 	group             *htgroup.Group
@@ -131,6 +134,7 @@
 		settings:     settings,
 		deps:         deps,
 		timers:       timers,
+		memory:       htmemory.NewBudget(settings.BodyMemory),
 		group:        htgroup.New(settings.Self, now),
 		mirror:       htmirror.New(),
 		decodedRows:  map[string]decodedRow{},
@@ -191,6 +195,9 @@
 // Relay returns the relay of the host.
 func (e *Entry) Relay() *htrelay.Relay { return e.relay }
 
+// Memory returns the budget for the bodies of calls.
+func (e *Entry) Memory() *htmemory.Budget { return e.memory }
+
 // Catalog returns the declarations in force.
 func (e *Entry) Catalog() *htcatalog.Catalog { return e.catalog.Load() }
 
--- a/io/htentry/events.go
+++ b/io/htentry/events.go
@@ -116,6 +116,22 @@
 	}).Info("upstream state changed")
 }
 
+// UpstreamLeaving implements htrelay.Events. The other hosts stop sending to the upstream too.
+func (e *Entry) UpstreamLeaving(u htcatalog.Upstream) {
+	logrus.WithFields(logrus.Fields{
+		htlog.FieldEvent: "upstream-leaving", "upstream": u.ID, "service": u.Service, "failure-domain": u.Domain,
+	}).Info("upstream announced its leaving; it gets no new calls")
+	of := htselect.IncarnationOf(u)
+	e.queueChange(change{leaving: &of})
+}
+
+// UpstreamPaused implements htrelay.Events.
+func (*Entry) UpstreamPaused(u htcatalog.Upstream, pause time.Duration) {
+	logrus.WithFields(logrus.Fields{
+		htlog.FieldEvent: "upstream-paused", "upstream": u.ID, "service": u.Service, "pause-ms": pause.Milliseconds(),
+	}).Info("upstream asked this host for no calls for a time")
+}
+
 // UpstreamFault implements htrelay.Events.
 func (e *Entry) UpstreamFault(u htcatalog.Upstream, f htselect.Fault, avoided bool) {
 	if avoided {
--- a/io/htentry/heartbeat.go
+++ b/io/htentry/heartbeat.go
@@ -226,6 +226,9 @@
 	for _, ref := range m.Gone {
 		e.relay.ObserveRemote(now, htselect.Observation{Upstream: ref, Down: true, Gone: true})
 	}
+	for _, of := range m.Leaving {
+		e.relay.LeavingElsewhere(htselect.Incarnation{Upstream: of.Upstream, Started: of.Started})
+	}
 	e.relay.WithSelector(func(s *htselect.Selector) {
 		for _, f := range m.Faults {
 			fault := htselect.Fault{Upstream: f.Upstream, Weight: float64(f.Percent) / 100}
--- a/io/htentry/hub.go
+++ b/io/htentry/hub.go
@@ -32,11 +32,12 @@
 )
 
 // change is an event that is sent to the other hosts with no delay except that of batching: a
-// fault, a crash, or an upstream that is gone if neither is set.
+// fault, a crash, an upstream that is leaving, or one that is gone if none of these is set.
 type change struct {
-	gone  htcatalog.Ref
-	fault *htselect.Fault
-	crash *htroute.CrashCount
+	gone    htcatalog.Ref
+	fault   *htselect.Fault
+	crash   *htroute.CrashCount
+	leaving *htselect.Incarnation
 }
 
 // queueChange queues a change for sendChanges. It does not block; a change that finds the
@@ -74,12 +75,14 @@
 			m.Faults = append(m.Faults, htgossip.Fault{Upstream: c.fault.Upstream, Percent: uint8(100 * c.fault.Weight)})
 		case c.crash != nil:
 			m.Crashes = append(m.Crashes, *c.crash)
+		case c.leaving != nil:
+			m.Leaving = append(m.Leaving, htgossip.Incarnation{Upstream: c.leaving.Upstream, Started: c.leaving.Started})
 		default:
 			m.Gone = append(m.Gone, c.gone)
 		}
 	}
 	add(first)
-	for len(e.changes) > 0 && len(m.Gone)+len(m.Faults)+len(m.Crashes) < maxQueuedChanges/8 {
+	for len(e.changes) > 0 && len(m.Gone)+len(m.Faults)+len(m.Crashes)+len(m.Leaving) < maxQueuedChanges/8 {
 		add(<-e.changes)
 	}
 	return m
--- a/io/htentry/hub_test.go
+++ b/io/htentry/hub_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"hawthornturn/core/htcatalog"
 	"hawthornturn/core/htgroup"
 	"hawthornturn/core/htmirror"
 	"hawthornturn/core/htroute"
@@ -112,6 +113,29 @@
 	}
 }
 
+// Guards against calls that other hosts go on sending to an upstream that is leaving.
+func TestLeavingIsToldAtOnce(t *testing.T) {
+	e := newTestEntry(testMember(1, 10))
+	e.changes = make(chan change, maxQueuedChanges)
+	u := htcatalog.Upstream{ID: "u", Started: 1 << 41}
+	e.UpstreamLeaving(u)
+	m := e.collectChanges(<-e.changes)
+	if len(m.Leaving) != 1 || len(m.Gone) != 0 || !e.isUrgent(&m) {
+		t.Fatalf("message to other hosts is %+v, want only the leaving upstream", m)
+	}
+	data, err := (&htgossip.Datagram{Messages: []htgossip.Message{m}}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	received, err := htgossip.Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := received.Messages[0].Leaving; len(got) != 1 || got[0].Upstream != u.Ref() || got[0].Started != u.Started {
+		t.Errorf("another host receives %+v", got)
+	}
+}
+
 // Guards against heartbeats larger than HeartbeatSize, from which hosts compute their heartbeat
 // interval.
 func TestBeatSize(t *testing.T) {
--- a/io/htgossip/message.go
+++ b/io/htgossip/message.go
@@ -43,6 +43,7 @@
 	Faults      []Fault              `cbor:"7,keyasint,omitempty"`
 	Crashes     []htroute.CrashCount `cbor:"8,keyasint,omitempty"`
 	Update      *htmirror.Update     `cbor:"9,keyasint,omitempty"`
+	Leaving     []Incarnation        `cbor:"10,keyasint,omitempty"` // upstreams that announced their leaving
 }
 
 // Status is the content of a heartbeat.
@@ -91,6 +92,13 @@
 	Percent  uint8
 }
 
+// Incarnation is one start of an upstream (htselect.Incarnation).
+type Incarnation struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream htcatalog.Ref
+	Started  int64
+}
+
 // Encode returns d in CBOR.
 func (d *Datagram) Encode() ([]byte, error) {
 	data, err := cbor.Marshal(d)
