htdispatch: take an expired request for overdue before the first response

Cause of TestScripts/pause-one-slot in KNOWN-RED.txt: an upstream is paused right after the load starts. Its first request expires, but no response of its class was seen yet, so it did not count as overdue; its slot was free again at its deadline, the next request was sent to the paused upstream, and both reached it when it woke (in the red log two bookings expired at one upstream 400 ms apart, the length of the timeout, and over-slots is 2). The overall estimate decides now, and without one a passed deadline.

Ruled out: a grace period that is too short for a starved upstream; the requests of the red run were sent while the upstream was still paused.

--- a/core/htdispatch/finish.go
+++ b/core/htdispatch/finish.go
@@ -20,7 +20,7 @@
 func (p *Pool) finish(now time.Time, f *inFlightRequest, result Result) {
 	u := f.upstream
 	if !f.held {
-		f.overdue = f.workTime.mean > 0 && float64(now.Sub(f.started)) > f.workTime.p99
+		f.overdue = p.isOverdue(now, f, result)
 	}
 	switch r := result.(type) {
 	case Completed:
@@ -68,6 +68,20 @@
 	}
 }
 
+// isOverdue reports whether a response to f was due before now. Until the first response of
+// any class, a passed deadline is the only sign of that.
+func (p *Pool) isOverdue(now time.Time, f *inFlightRequest, result Result) bool {
+	estimate := f.workTime
+	if estimate.mean == 0 {
+		estimate = &p.overallWorkTime
+	}
+	if estimate.mean > 0 {
+		return float64(now.Sub(f.started)) > estimate.p99
+	}
+	abandoned, ok := result.(Abandoned)
+	return ok && abandoned.DeadlinePassed
+}
+
 // holdUntilDeadline keeps the slot of f occupied until Config.HoldGrace after
 // f.deadline.
 func (p *Pool) holdUntilDeadline(now time.Time, f *inFlightRequest) {
--- a/core/htdispatch/liveness_test.go
+++ b/core/htdispatch/liveness_test.go
@@ -51,6 +51,28 @@
 	}
 }
 
+// Guards against a paused upstream whose slots are reused before any response to this class of
+// requests was seen: whether a response is overdue was not known then. In the script
+// pause-one-slot, an upstream paused right after the start of the load got two requests at
+// once when it resumed.
+func TestUnresponsiveUpstreamKeepsSlotsBeforeFirstResponse(t *testing.T) {
+	s := newHarness(t, Config{}, upstreams(1, 1)...)
+	s.probesTimeOut = true
+	id := s.offer("a")
+	s.advance(10 * time.Second)
+	s.finish(id, Abandoned{DeadlinePassed: true})
+	s.advance(time.Second)
+	next := s.offer("b")
+	s.advance(time.Second)
+	s.check("started on an unresponsive upstream", s.running[next].Ticket, Ticket(0))
+	s.check("slots occupied", s.upstream("u0").InFlight, 1)
+	s.probesTimeOut = false
+	s.succeedProbe("u0")
+	next = s.offer("b")
+	s.advance(time.Second)
+	s.check("started after the upstream responded", s.running[next].Request.ID, next)
+}
+
 // Guards against overdue slots that stay occupied although the upstream responds: the
 // requests that it had read before have reached their deadline there as well.
 func TestResponseReleasesOverdueSlots(t *testing.T) {
