--- a/core/htexplain/cause.go
+++ b/core/htexplain/cause.go
@@ -74,6 +74,8 @@
 		}
 		return fmt.Sprintf("the expected wait was longer than the %d ms given; %s, and %d calls waited before it",
 			left, upstreamCounts(call), max(call.number("ahead"), 0)) + retryHint
+	case htcall.ReasonNoMemory:
+		return "the bodies of other calls took the memory that the host has for them, or its body was larger" + retryHint
 	case htcall.ReasonNoUpstream:
 		return "no upstream is usable; " + upstreamCounts(call) + retryHint
 	case htcall.ReasonColdLimit:
--- a/core/htresource/declaration.go
+++ b/core/htresource/declaration.go
@@ -9,7 +9,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"hawthornturn/core/htfinding"
-	"hawthornturn/internal/htyaml"
+	"hawthornturn/core/htyaml"
 )
 
 // DecodeFile decodes the declarations of a file and checks them as a complete set.
--- a/core/htselect/notice.go
+++ b/core/htselect/notice.go
@@ -1,6 +1,8 @@
 package htselect
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hawthornturn/core/htcatalog"
@@ -10,6 +12,9 @@
 // that. Its row may vanish and come back meanwhile, as after an outage of the store.
 const leavingMemory = 10 * time.Minute
 
+// maxLeaving bounds the incarnations that are remembered and not known.
+const maxLeaving = 1 << 14
+
 // Notice is what an upstream asks of the hosts beside an answer. The zero value asks nothing.
 type Notice struct {
 	Leaving bool          // no new calls from any host, until its next incarnation
@@ -26,10 +31,14 @@
 func IncarnationOf(u htcatalog.Upstream) Incarnation { return Incarnation{u.Ref(), u.Started} }
 
 // Heed records a notice of an incarnation. It reports whether the upstream is known and now
-// leaving for the first time.
+// leaving for the first time. The leaving of one that is not known yet is remembered: the
+// message of another host may arrive before the row.
 func (s *Selector) Heed(now time.Time, of Incarnation, n Notice) bool {
 	u := s.byRef[of.Upstream]
 	if u == nil || u.declared.Started != of.Started {
+		if n.Leaving && len(s.leaving) < maxLeaving {
+			s.leaving[of] = now
+		}
 		return false
 	}
 	if until := now.Add(n.Pause); n.Pause > 0 && until.After(u.pausedUntil) {
@@ -43,6 +52,11 @@
 	return true
 }
 
+// Leaving returns the incarnations that announced their leaving.
+func (s *Selector) Leaving() []Incarnation {
+	return slices.Collect(maps.Keys(s.leaving))
+}
+
 // forgetLeaving removes the incarnations that announced their leaving long ago.
 func (s *Selector) forgetLeaving(now time.Time) {
 	for of, at := range s.leaving {
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -11,6 +11,7 @@
 
 	"hawthornturn/core/htgroup"
 	"hawthornturn/core/htmirror"
+	"hawthornturn/core/htselect"
 	"hawthornturn/io/htgossip"
 )
 
@@ -214,6 +215,9 @@
 	if len(rows.Crashes) > 0 {
 		e.relay.MergeCrashes(rows.Crashes)
 	}
+	for _, of := range rows.Leaving {
+		e.relay.LeavingElsewhere(htselect.Incarnation{Upstream: of.Upstream, Started: of.Started})
+	}
 	now := e.timers.Now()
 	e.mu.Lock()
 	for _, m := range rows.Members {
@@ -241,12 +245,19 @@
 }
 
 // rowsSince returns the rows that changed after the given versions, for a host that is
-// behind. A host that has just started also gets the members and the crash counts.
+// behind. A host that has just started also gets the members, the crash counts and the
+// upstreams that announced their leaving.
 func (e *Entry) rowsSince(after htmirror.Versions) htgossip.Rows {
 	var rows htgossip.Rows
 	starting := after == (htmirror.Versions{})
 	if starting {
-		rows.Crashes = e.relay.AllCrashes() // e.mu is not held, since the relay locks it to read the group
+		// e.mu is not held, since the relay locks it to read the group.
+		rows.Crashes = e.relay.AllCrashes()
+		e.relay.WithSelector(func(s *htselect.Selector) {
+			for _, of := range s.Leaving() {
+				rows.Leaving = append(rows.Leaving, htgossip.Incarnation{Upstream: of.Upstream, Started: of.Started})
+			}
+		})
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/htentry/follow_test.go
+++ b/io/htentry/follow_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"hawthornturn/core/htcatalog"
 	"hawthornturn/core/htgroup"
 	"hawthornturn/core/htmirror"
+	"hawthornturn/core/htselect"
 	"hawthornturn/io/htgossip"
 )
 
@@ -48,3 +50,29 @@
 		t.Errorf("a newly learned host received %+v, error %v; want a heartbeat that asks for a reply", d, err)
 	}
 }
+
+// Guards against calls of a host that has started again to an upstream that announced its
+// leaving before that.
+func TestStartedHostLearnsOfLeavingUpstreams(t *testing.T) {
+	u := htcatalog.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", Domain: "a", Slots: 1, Started: 5}
+	running, _ := newCatalogTestEntry(0)
+	running.relay.LeavingElsewhere(htselect.IncarnationOf(u))
+	server := httptest.NewServer(htgossip.Handler(running.rowsSince))
+	t.Cleanup(server.Close)
+
+	started, _ := newCatalogTestEntry(0)
+	started.mirror = htmirror.New()
+	started.rowClient = htgossip.NewClient()
+	conn, err := htgossip.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	started.gossip = conn
+	started.fetchRows(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()))
+	started.relay.WithSelector(func(s *htselect.Selector) {
+		s.Apply(testStart, htcatalog.New(started.config, []htcatalog.Upstream{u}, nil))
+		if counts := s.UpstreamCounts(testStart, "s", nil); counts.Draining != 1 {
+			t.Errorf("after the start the upstreams are %+v, want one that is leaving", counts)
+		}
+	})
+}
--- a/io/htgossip/sync.go
+++ b/io/htgossip/sync.go
@@ -38,6 +38,7 @@
 	Deltas  []htmirror.Delta     `cbor:"1,keyasint"`
 	Members []htgroup.Member     `cbor:"2,keyasint,omitempty"`
 	Crashes []htroute.CrashCount `cbor:"3,keyasint,omitempty"`
+	Leaving []Incarnation        `cbor:"4,keyasint,omitempty"` // upstreams that announced their leaving
 }
 
 // Source returns the rows that changed after the versions, by table.
--- a/io/htsettings/decode.go
+++ b/io/htsettings/decode.go
@@ -6,7 +6,7 @@
 	"path/filepath"
 
 	"hawthornturn/core/htfinding"
-	"hawthornturn/internal/htyaml"
+	"hawthornturn/core/htyaml"
 )
 
 // Load reads and checks the settings file at path. Relative names of TLS files are resolved
