htrelay: callers refused while upstreams are free may come back at once

Callers were told to come back after the work time of a call, so that a second or third attempt was late. Upstreams that are free accept the next call as likely now as later.

--- a/core/htrelay/fakes_test.go
+++ b/core/htrelay/fakes_test.go
@@ -231,8 +231,20 @@
 }
 
 func newFixture(idempotent bool, reactions ...reaction) *fixture {
+	sender := &sender{reactions: reactions}
+	w := newFixtureWithLimits(htselect.Limits{
+		Retry:           htselect.RetryLimit{Ratio: 1, Extra: 1000, Window: time.Second},
+		ProbesPerSecond: 60,
+	}, sender)
+	w.sender = sender
+	w.route.Idempotent = idempotent
+	return w
+}
+
+// newFixtureWithLimits returns a fixture for calls that are not idempotent.
+func newFixtureWithLimits(limits htselect.Limits, sender Sender) *fixture {
 	route := htcatalog.Route{
-		Name: "r", Idempotent: idempotent, Timeout: time.Second, Target: 200 * time.Millisecond, Attempts: 2,
+		Name: "r", Timeout: time.Second, Target: 200 * time.Millisecond, Attempts: 2,
 		Parts: []htcatalog.Part{{Service: "s", Weight: 1}},
 	}
 	config := &htcatalog.Config{Routes: []htcatalog.Route{route}, Services: []htcatalog.Service{{Name: "s", ColdPerSecond: 10}}}
@@ -240,14 +252,10 @@
 	for i := range 3 {
 		upstreams = append(upstreams, htcatalog.Upstream{ID: fmt.Sprintf("u%d", i), Service: "s", Domain: "a", Slots: 2})
 	}
-	limits := htselect.Limits{
-		Retry:           htselect.RetryLimit{Ratio: 1, Extra: 1000, Window: time.Second},
-		ProbesPerSecond: 60,
-	}
 	selector := htselect.New("a", group{}, limits, rand.New(rand.NewPCG(1, 2)))
 	selector.Apply(time.Now(), htcatalog.New(config, upstreams, nil))
-	w := &fixture{sender: &sender{reactions: reactions}, prober: newProber(), events: &events{}, route: &route}
-	w.relay = New(selector, w.sender, w.prober, w.events, time.Now)
+	w := &fixture{prober: newProber(), events: &events{}, route: &route}
+	w.relay = New(selector, sender, w.prober, w.events, time.Now)
 	return w
 }
 
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -12,6 +12,11 @@
 const (
 	// maxSends bounds the sends of one call, including those that upstreams refused.
 	maxSends = 4
+	// freeRetryAfter is the Retry-After time of a call that was refused by upstreams while
+	// others are free: upstreams that reject a share of their calls accept the next one as
+	// likely as a later one, and the caller can still be on time. It is long enough for new
+	// reports of upstreams.
+	freeRetryAfter = 25 * time.Millisecond
 )
 
 // run is the state of one call in progress.
@@ -235,6 +240,9 @@
 	case r.uncertain:
 		return unknownAnswer(htcall.ReasonBroken)
 	}
+	if r.relay.hasGoodChoice(r) {
+		return refusal(reason, freeRetryAfter)
+	}
 	return refusal(reason, r.retryAfter())
 }
 
