--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -64,7 +64,7 @@
 		r.events.UpstreamChanged(u, before, after)
 	}
 	if known {
-		r.heed(at, u, o.Notice)
+		r.recordNotice(at, u, o.Notice)
 	}
 	if o.Gone {
 		for _, c := range r.crashes.upstreamGone(at, o.Upstream) {
@@ -79,12 +79,12 @@
 	r.dispatchAll()
 }
 
-// heed records a notice of an upstream and reports it. The caller holds r.mu.
-func (r *Relay) heed(now time.Time, u htcatalog.Upstream, n htselect.Notice) {
+// recordNotice records a notice of an upstream and reports it. The caller holds r.mu.
+func (r *Relay) recordNotice(now time.Time, u htcatalog.Upstream, n htselect.Notice) {
 	if n == (htselect.Notice{}) {
 		return
 	}
-	if r.selector.Heed(now, htselect.IncarnationOf(u), n) {
+	if r.selector.RecordNotice(now, htselect.IncarnationOf(u), n) {
 		r.events.UpstreamLeaving(u)
 	}
 	if n.Pause > 0 {
@@ -92,11 +92,11 @@
 	}
 }
 
-// LeavingElsewhere records that an upstream announced its leaving to another host.
-func (r *Relay) LeavingElsewhere(of htselect.Incarnation) {
+// RecordLeaving records that an upstream announced its leaving to another host.
+func (r *Relay) RecordLeaving(of htselect.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.selector.Heed(r.now(), of, htselect.Notice{Leaving: true})
+	r.selector.RecordNotice(r.now(), of, htselect.Notice{Leaving: true})
 }
 
 // trackRun records that a run has a send in flight at an upstream, and untrackRun that it
--- a/core/htrelay/result.go
+++ b/core/htrelay/result.go
@@ -22,7 +22,7 @@
 	switch reply := reply.(type) {
 	case Answered:
 		report = reply.Report
-		r.heed(now, c.Upstream, reply.Notice)
+		r.recordNotice(now, c.Upstream, reply.Notice)
 		switch {
 		case reply.Status == http.StatusGatewayTimeout:
 			fault.Weight = htselect.FaultTimeout
@@ -34,7 +34,7 @@
 		}
 	case Refused:
 		report = reply.Report
-		r.heed(now, c.Upstream, reply.Notice)
+		r.recordNotice(now, c.Upstream, reply.Notice)
 		r.selector.CallRefused(now, c)
 		if reply.Misdirected {
 			r.selector.Misdirected(c)
--- a/core/htselect/choice.go
+++ b/core/htselect/choice.go
@@ -179,7 +179,7 @@
 
 // usable reports whether u may get calls at all.
 func (s *Selector) usable(u *upstream) bool {
-	return s.wantsCalls(u) && !u.report.Down
+	return s.inService(u) && !u.report.Down
 }
 
 func (u *upstream) slots() int {
--- a/core/htselect/counts.go
+++ b/core/htselect/counts.go
@@ -35,7 +35,7 @@
 		switch {
 		case s.catalog.DomainsOut[u.declared.Domain]:
 			c.Out++
-		case !s.wantsCalls(u):
+		case !s.inService(u):
 			c.Draining++
 		case u.report.Down:
 			c.Down++
--- a/core/htselect/notice.go
+++ b/core/htselect/notice.go
@@ -30,10 +30,10 @@
 // IncarnationOf returns the incarnation of a declared upstream.
 func IncarnationOf(u htcatalog.Upstream) Incarnation { return Incarnation{u.Ref(), u.Started} }
 
-// Heed records a notice of an incarnation. It reports whether the upstream is known and now
+// RecordNotice records a notice of an incarnation. It reports whether the upstream is known and now
 // leaving for the first time. The leaving of one that is not known yet is remembered: the
 // message of another host may arrive before the row.
-func (s *Selector) Heed(now time.Time, of Incarnation, n Notice) bool {
+func (s *Selector) RecordNotice(now time.Time, of Incarnation, n Notice) bool {
 	u := s.byRef[of.Upstream]
 	if u == nil || u.declared.Started != of.Started {
 		if n.Leaving && len(s.leaving) < maxLeaving {
@@ -66,8 +66,9 @@
 	}
 }
 
-// wantsCalls reports whether the upstream itself and the operators let it get calls.
-func (s *Selector) wantsCalls(u *upstream) bool {
+// inService reports whether an upstream may get calls by what it, its row and the operators
+// say, whatever its state.
+func (s *Selector) inService(u *upstream) bool {
 	return !u.declared.Draining && !u.leaving && !u.addressReused && !s.catalog.DomainsOut[u.declared.Domain]
 }
 
--- a/core/htselect/notice_test.go
+++ b/core/htselect/notice_test.go
@@ -16,13 +16,13 @@
 	s := newSelector(1, fixedGroup{size: 1}, catalog(1, func(_ int, u *htcatalog.Upstream) { u.Started = 1 }))
 	u := s.catalog.Upstreams[0]
 	of := IncarnationOf(u)
-	if s.Heed(now, Incarnation{u.Ref(), u.Started - 1}, Notice{Leaving: true}) {
+	if s.RecordNotice(now, Incarnation{u.Ref(), u.Started - 1}, Notice{Leaving: true}) {
 		t.Error("the leaving of another incarnation was taken for this one's")
 	}
 	if choice, refused := s.Choose(now, route, u.Service, time.Second, nil); refused != nil || choice.Upstream.ID != u.ID {
 		t.Fatalf("not chosen before its leaving: %+v", refused)
 	}
-	if !s.Heed(now, of, Notice{Leaving: true}) || s.Heed(now, of, Notice{Leaving: true}) {
+	if !s.RecordNotice(now, of, Notice{Leaving: true}) || s.RecordNotice(now, of, Notice{Leaving: true}) {
 		t.Error("the leaving is to be reported once")
 	}
 	check := func(when string, wantChosen bool) {
@@ -40,7 +40,7 @@
 	restarted.Started++
 	s.Apply(now, htcatalog.New(s.catalog.Config, []htcatalog.Upstream{restarted}, nil))
 	check("after a new start", true)
-	s.Heed(now, Incarnation{u.Ref(), u.Started + 2}, Notice{Leaving: true})
+	s.RecordNotice(now, Incarnation{u.Ref(), u.Started + 2}, Notice{Leaving: true})
 	restarted.Started++
 	s.Apply(now, htcatalog.New(s.catalog.Config, []htcatalog.Upstream{restarted}, nil))
 	check("after the message of another host came before the row", false)
@@ -59,8 +59,8 @@
 	s := newSelector(1, fixedGroup{size: 1}, catalog(2, nil))
 	pauses := []time.Duration{3 * time.Second, 2 * time.Second}
 	for i, u := range s.catalog.Upstreams {
-		s.Heed(now, IncarnationOf(u), Notice{Pause: pauses[i]})
-		s.Heed(now, IncarnationOf(u), Notice{Pause: time.Second}) // does not shorten the pause
+		s.RecordNotice(now, IncarnationOf(u), Notice{Pause: pauses[i]})
+		s.RecordNotice(now, IncarnationOf(u), Notice{Pause: time.Second}) // does not shorten the pause
 	}
 	service := s.catalog.Upstreams[0].Service
 	_, refused := s.Choose(now, route, service, time.Second, nil)
--- a/core/htselect/probe.go
+++ b/core/htselect/probe.go
@@ -138,7 +138,7 @@
 
 // probeable reports whether u could get calls, so that a probe is useful.
 func (s *Selector) probeable(now time.Time, u *upstream) bool {
-	if !s.wantsCalls(u) || u.paused(now) {
+	if !s.inService(u) || u.paused(now) {
 		return false
 	}
 	if u.report.Down && now.Sub(u.reportedAt) < u.downPause {
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -216,7 +216,7 @@
 		e.relay.MergeCrashes(rows.Crashes)
 	}
 	for _, of := range rows.Leaving {
-		e.relay.LeavingElsewhere(htselect.Incarnation{Upstream: of.Upstream, Started: of.Started})
+		e.relay.RecordLeaving(htselect.Incarnation{Upstream: of.Upstream, Started: of.Started})
 	}
 	now := e.timers.Now()
 	e.mu.Lock()
--- a/io/htentry/follow_test.go
+++ b/io/htentry/follow_test.go
@@ -56,7 +56,7 @@
 func TestStartedHostLearnsOfLeavingUpstreams(t *testing.T) {
 	u := htcatalog.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", Domain: "a", Slots: 1, Started: 5}
 	running, _ := newCatalogTestEntry(0)
-	running.relay.LeavingElsewhere(htselect.IncarnationOf(u))
+	running.relay.RecordLeaving(htselect.IncarnationOf(u))
 	server := httptest.NewServer(htgossip.Handler(running.rowsSince))
 	t.Cleanup(server.Close)
 
--- a/io/htentry/heartbeat.go
+++ b/io/htentry/heartbeat.go
@@ -227,7 +227,7 @@
 		e.relay.ObserveRemote(now, htselect.Observation{Upstream: ref, Down: true, Gone: true})
 	}
 	for _, of := range m.Leaving {
-		e.relay.LeavingElsewhere(htselect.Incarnation{Upstream: of.Upstream, Started: of.Started})
+		e.relay.RecordLeaving(htselect.Incarnation{Upstream: of.Upstream, Started: of.Started})
 	}
 	e.relay.WithSelector(func(s *htselect.Selector) {
 		for _, f := range m.Faults {
