--- a/core/htrelay/shed_test.go
+++ b/core/htrelay/shed_test.go
@@ -35,9 +35,8 @@
 }
 
 // Guards against callers that are late because they are told to come back after the work time
-// of a call although upstreams are free. All upstreams reject 55% of their calls, as on a day
-// with srv_grey "shed all"; few calls run, and the retry budget is spent. Callers come back
-// twice, when they are told to.
+// of a call although upstreams are free. All upstreams reject 55% of their calls although few
+// calls run, and the retry budget is spent. Callers come back twice, when they are told to.
 func TestCallersOfSheddingUpstreamsAreOnTime(t *testing.T) {
 	const (
 		callers   = 400
