--- a/core/htpath/early.go
+++ b/core/htpath/early.go
@@ -10,8 +10,9 @@
 	// earlyReportLifetime is how long a report is kept for a shard that is not installed
 	// yet. It covers the lease of a lost host and the wait for the state of a shard.
 	earlyReportLifetime = 30 * time.Second
-	// maxEarlyReports bounds the reports that are kept for all shards together.
-	maxEarlyReports = 4096
+	// maxEarlyReports bounds the reports that are kept for all shards together. A report may
+	// carry an answer of up to ReplayLimit bytes.
+	maxEarlyReports = 512
 )
 
 // earlyReports holds the reports of previous owners that arrive before this host has
