--- a/review/standin/case_drain.go
+++ b/review/standin/case_drain.go
@@ -19,20 +19,20 @@
 	largeContact = 4 * time.Second
 	// storeWrite is the time between two writes to one part of the store: 300 a second.
 	storeWrite = 3400 * time.Microsecond
-	// startSpread is the time between the starts of two of the eight hosts.
-	startSpread = 40 * time.Millisecond
+	// startSpread is the time between the starts of two hosts: all eight start within 0.3 s.
+	startSpread = 20 * time.Millisecond
 	// leavingShare is the share of the workers of bookdesk that leave.
 	leavingShare = 0.2
 )
 
-// drainDuringRestart has the 600 workers of shtl-gateway-large, which the store lists in two
-// pages, and eight hosts. In each of three rounds a fifth of the workers of bookdesk report
+// drainDuringRestart has the services of shtl-gateway-large with 3,000 workers, as in the sweep
+// at 300 machines, which the store lists in six pages, and eight hosts. In each of six rounds a fifth of the workers of bookdesk report
 // draining, one transaction each, at most 300 a second, and are ready again later. With trouble,
 // all hosts are killed and started again before, and the reports begin when the first host has
 // read the first page of the list of workers.
 func drainDuringRestart(b *bed, trouble bool) (bool, string) {
 	zones := []string{"guj-west-a", "guj-west-b", "guj-west-c"}
-	sizes := map[string]int{"certcheck": 251, "bookdesk": 117, "logvault": 202, "rosterline": 30}
+	sizes := map[string]int{"certcheck": 1255, "bookdesk": 585, "logvault": 1010, "rosterline": 150}
 	var workers, desk []*worker
 	for _, service := range []string{"certcheck", "bookdesk", "logvault", "rosterline"} {
 		for i := range sizes[service] {
@@ -63,7 +63,7 @@
 	var mu sync.Mutex
 	statuses := map[int]int{}
 	late, at := 0, map[string]int{}
-	for round := range 3 {
+	for round := range 6 {
 		confirmed := map[string]time.Time{}
 		rand.Shuffle(len(desk), func(i, j int) { desk[i], desk[j] = desk[j], desk[i] })
 		order := desk[:int(leavingShare*float64(len(desk)))]
@@ -96,7 +96,8 @@
 			}
 			time.Sleep(500 * time.Millisecond)
 			var starting sync.WaitGroup
-			for i, h := range b.hosts { // within 0.3 s of each other
+			for i, n := range rand.Perm(len(b.hosts)) {
+				h := b.hosts[n]
 				starting.Add(1)
 				go func() {
 					defer starting.Done()
@@ -120,7 +121,7 @@
 			go func() {
 				defer wg.Done()
 				h := b.hosts[c%len(b.hosts)]
-				for n := range 60 {
+				for n := range 40 {
 					id := fmt.Sprintf("booking-%d-%d-%d", round, c, n)
 					a := send(h.front, head("POST", "/puka111/2f", "hulo84.example", id, 2500, 5), "slot7", 4*time.Second)
 					mu.Lock()
@@ -152,7 +153,7 @@
 			w.announce(b.store, "ready")
 		}
 		b.store.watch(nil)
-		time.Sleep(2 * time.Second)
+		time.Sleep(time.Second)
 	}
 	var pairs []string
 	for p := range at {
