--- a/review/standin/case_drain.go
+++ b/review/standin/case_drain.go
@@ -25,14 +25,14 @@
 	leavingShare = 0.2
 )
 
-// drainDuringRestart has the services of shtl-gateway-large with 3,000 workers, as in the sweep
-// at 300 machines, which the store lists in six pages, and eight hosts. In each of six rounds a fifth of the workers of bookdesk report
-// draining, one transaction each, at most 300 a second, and are ready again later. With trouble,
-// all hosts are killed and started again before, and the reports begin when the first host has
-// read the first page of the list of workers.
+// drainDuringRestart has the services and the 600 workers of shtl-gateway-large, which the store
+// lists in two pages, and eight hosts. In each of ten rounds a fifth of the workers of bookdesk
+// report draining, one transaction each, at most 300 a second, and are ready again later. With
+// trouble, all hosts are killed and started again before, and the reports begin when the first
+// host has read the first page of the list of workers.
 func drainDuringRestart(b *bed, trouble bool) (bool, string) {
 	zones := []string{"guj-west-a", "guj-west-b", "guj-west-c"}
-	sizes := map[string]int{"certcheck": 1255, "bookdesk": 585, "logvault": 1010, "rosterline": 150}
+	sizes := map[string]int{"certcheck": 251, "bookdesk": 117, "logvault": 202, "rosterline": 30}
 	var workers, desk []*worker
 	for _, service := range []string{"certcheck", "bookdesk", "logvault", "rosterline"} {
 		for i := range sizes[service] {
@@ -63,7 +63,7 @@
 	var mu sync.Mutex
 	statuses := map[int]int{}
 	late, at := 0, map[string]int{}
-	for round := range 6 {
+	for round := range 10 {
 		confirmed := map[string]time.Time{}
 		rand.Shuffle(len(desk), func(i, j int) { desk[i], desk[j] = desk[j], desk[i] })
 		order := desk[:int(leavingShare*float64(len(desk)))]
