htentry: log outages of the store as seen by a host, and lapsed upstreams

Logs could not tell whether a host keeps an upstream without an entry because it saw an outage of the store itself or because another host said so. store-outage gives the gap and which response ended it, and catalog-changed the number of lapsed upstreams in use.

--- a/core/htmirror/mirror.go
+++ b/core/htmirror/mirror.go
@@ -61,14 +61,17 @@
 }
 
 // RecordContact records a response of the store to this host or to a peer. It must be called
-// before the rows of the response are applied.
-func (m *Mirror) RecordContact(at time.Time) {
+// before the rows of the response are applied. If the response ends an outage, RecordContact
+// returns the time without a response, and otherwise zero.
+func (m *Mirror) RecordContact(at time.Time) (outage time.Duration) {
 	if !m.lastContact.IsZero() && at.Sub(m.lastContact) > outageThreshold {
 		m.recoveredAt = at
+		outage = at.Sub(m.lastContact)
 	}
 	if at.After(m.lastContact) {
 		m.lastContact = at
 	}
+	return outage
 }
 
 // recovering reports whether rows may be missing only because of a recent outage.
--- a/io/htentry/catalog.go
+++ b/io/htentry/catalog.go
@@ -33,10 +33,14 @@
 	addresses := map[string]bool{}
 	decodedRows := map[string]decodedRow{}
 	var graceEnd time.Time
+	lapsed := 0
 	for _, t := range []htmirror.Table{htmirror.Declared, htmirror.Announced} {
 		rows, next := e.mirror.Rows(now, t)
 		graceEnd = earliestNonZero(graceEnd, next)
 		for _, r := range rows {
+			if r.Lapsed {
+				lapsed++
+			}
 			d := e.decode(t, r)
 			decodedRows[t.String()+"/"+r.Key] = d
 			switch declaration := d.declaration.(type) {
@@ -57,7 +61,7 @@
 	e.deps.RetainConnections(addresses)
 	logrus.WithFields(logrus.Fields{
 		"event": "catalog-changed", "config": configVersion(e.config), "upstreams": len(upstreams),
-		"domains-out": len(domainsOut), "versions": e.mirror.Versions(),
+		"lapsed": lapsed, "domains-out": len(domainsOut), "versions": e.mirror.Versions(),
 	}).Info("declarations applied")
 }
 
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -127,7 +127,7 @@
 	e.mu.Lock()
 	firstResponse := e.group.StoreAge(now) < 0 // since the start or since the store was lost
 	e.group.RecordStoreResponse(now)
-	e.mirror.RecordContact(now)
+	e.recordStoreContact(now, "own")
 	before := e.mirror.Versions()[t]
 	changed := apply(now)
 	var updates []htmirror.Update
@@ -150,6 +150,15 @@
 	return changed
 }
 
+// recordStoreContact records a response of the store to this host or, as heard from it, to
+// another one. The caller holds e.mu.
+func (e *Entry) recordStoreContact(at time.Time, servedHost string) {
+	if outage := e.mirror.RecordContact(at); outage > 0 {
+		logrus.WithFields(logrus.Fields{"event": "store-outage", "served": servedHost, "gap-ms": outage.Milliseconds()}).
+			Warn("no host was known to be served by the store; upstreams whose entries are missing now stay in use for a moment")
+	}
+}
+
 // handleStoreFailure records a failed call to the store and returns how long to wait before
 // the next one.
 func (e *Entry) handleStoreFailure(t htmirror.Table, rank int, err error) time.Duration {
--- a/io/htentry/heartbeat.go
+++ b/io/htentry/heartbeat.go
@@ -99,7 +99,7 @@
 		logrus.WithFields(logrus.Fields{"event": "host-forgotten", "address": m.Address}).Info("host removed: silent for too long")
 	}
 	if contact := e.group.LastStoreContact(now); !contact.IsZero() {
-		e.mirror.RecordContact(contact)
+		e.recordStoreContact(contact, "other")
 	}
 	graceOver := !e.lapseGraceEnd.IsZero() && !e.lapseGraceEnd.After(now)
 	e.mu.Unlock()
