htmirror: judge on each host whether an upstream's entry lapsed

Callers' requests went to upstreams up to 2.5 s after their entries were gone (DRAIN, bound 2.0 s), on all hosts, after the reader of the store had been frozen or cut off.

Cause: a reader that was disturbed for over 2 s took its own silence for an outage of the store and marked removals of the next 2.3 s as lapsed. The mark went out with the rows, and all hosts kept these upstreams for 2.3 s from the removal on, although another host had been served all the while.

Ruled out by logs: hosts that observe an outage themselves.

Now rows carry the age of the newest response of the store instead of the mark, so that each host judges by what it has heard, and the use of lapsed upstreams ends 2.3 s after the recovery instead of after the removal. Responses are recorded with each heartbeat instead of twice a second, so that rows that arrive between two ticks meet an up-to-date record.

TestLapsedRowsReachPeers passes deltas through Merge, which replaces Apply for rows of other hosts; what it checks is unchanged.

--- a/core/htmirror/mirror.go
+++ b/core/htmirror/mirror.go
@@ -10,9 +10,11 @@
 	// outageThreshold is the time without a response from the store above which rows that it
 	// deleted meanwhile count as lapsed. It is longer than a long poll.
 	outageThreshold = 2 * time.Second
-	// LapseGrace is how long a lapsed upstream stays in use. Running upstreams have
-	// announced themselves again about two seconds after the store has recovered.
+	// LapseGrace is how long after the recovery of the store lapsed upstreams stay in use.
+	// Running upstreams have announced themselves again about two seconds after it.
 	LapseGrace = 2300 * time.Millisecond
+	// maxStoreAge is the age above which a response of the store in a Delta is ignored.
+	maxStoreAge = time.Hour
 )
 
 // Mirror is a copy of the tables. It is not safe for concurrent use.
@@ -74,9 +76,13 @@
 	return outage
 }
 
-// recovering reports whether rows may be missing only because of a recent outage.
-func (m *Mirror) recovering(now time.Time) bool {
-	return !m.recoveredAt.IsZero() && now.Sub(m.recoveredAt) < LapseGrace
+// recoveryEnd returns until when rows may be missing only because of the last outage, or zero
+// if there was none.
+func (m *Mirror) recoveryEnd() time.Time {
+	if m.recoveredAt.IsZero() {
+		return time.Time{}
+	}
+	return m.recoveredAt.Add(LapseGrace)
 }
 
 // Replace applies the complete list of the rows of a table at a version, unless the mirror
@@ -115,13 +121,23 @@
 	return changed
 }
 
-// Update applies rows that another host has sent, unless this mirror lacks earlier rows. It
-// reports whether anything changed.
-func (m *Mirror) Update(now time.Time, u *Update) bool {
+// Merge applies a delta of another host, and the response of the store that it reports. It
+// reports whether anything changed, and the duration of the outage that the response ended
+// (RecordContact).
+func (m *Mirror) Merge(now time.Time, d Delta) (changed bool, outage time.Duration) {
+	if d.StoreAgeMS >= 0 && d.StoreAgeMS <= maxStoreAge.Milliseconds() {
+		outage = m.RecordContact(now.Add(-time.Duration(d.StoreAgeMS) * time.Millisecond))
+	}
+	return m.Apply(now, d), outage
+}
+
+// Update merges rows that another host has sent, unless this mirror lacks earlier rows. Its
+// results are those of Merge.
+func (m *Mirror) Update(now time.Time, u *Update) (changed bool, outage time.Duration) {
 	if t := u.Delta.Table; t >= numTables || m.cursors[t] == 0 || m.versions[t] < u.After {
-		return false
+		return false, 0
 	}
-	return m.Apply(now, u.Delta)
+	return m.Merge(now, u.Delta)
 }
 
 // put stores a row unless the known one is at least as new. It reports whether it changed
@@ -137,9 +153,8 @@
 			m.rows[t][r.Key] = storedRow{Row: r, validUntil: known.validUntil, lastValue: known.lastValue}
 			return false
 		}
-		if t == Announced && (r.Lapsed || m.recovering(now)) {
-			s.Lapsed = true
-			s.validUntil = now.Add(LapseGrace)
+		if end := m.recoveryEnd(); t == Announced && end.After(now) {
+			s.validUntil = end
 			s.lastValue = known.Value
 		}
 	}
@@ -149,8 +164,11 @@
 
 // Since returns the rows of t that changed after a version, including deleted ones, in the
 // order of their versions.
-func (m *Mirror) Since(t Table, after int64) Delta {
-	d := Delta{Table: t, Version: m.cursors[t]}
+func (m *Mirror) Since(now time.Time, t Table, after int64) Delta {
+	d := Delta{Table: t, Version: m.cursors[t], StoreAgeMS: -1}
+	if !m.lastContact.IsZero() {
+		d.StoreAgeMS = now.Sub(m.lastContact).Milliseconds()
+	}
 	for _, s := range m.rows[t] {
 		if s.Version > after {
 			d.Rows = append(d.Rows, s.Row)
--- a/core/htmirror/mirror_test.go
+++ b/core/htmirror/mirror_test.go
@@ -64,12 +64,12 @@
 func TestDeltaCarriesRemovals(t *testing.T) {
 	a, b := New(), New()
 	a.Replace(start, Announced, 3, []Row{{Key: "u1", Version: 2, Value: []byte("x")}, {Key: "u2", Version: 3, Value: []byte("y")}})
-	b.Apply(start, a.Since(Announced, 0))
+	b.Merge(start, a.Since(start, Announced, 0))
 	a.Replace(start, Announced, 7, []Row{{Key: "u2", Version: 3, Value: []byte("y")}, {Key: "u3", Version: 6, Value: []byte("z")}})
 	if !b.Versions().Behind(a.Versions()) {
 		t.Fatal("the second mirror does not detect that it is behind")
 	}
-	b.Apply(start, a.Since(Announced, b.Versions()[Announced]))
+	b.Merge(start, a.Since(start, Announced, b.Versions()[Announced]))
 	if got, want := rowValues(b, start, Announced), []string{"u2=y", "u3=z"}; !equal(got, want) {
 		t.Errorf("rows are %v, want %v", got, want)
 	}
@@ -116,11 +116,11 @@
 	a, b := New(), New()
 	a.RecordContact(start)
 	a.Replace(start, Announced, 2, []Row{{Key: "u1", Version: 2, Value: []byte("x")}})
-	b.Apply(start, a.Since(Announced, 0))
+	b.Merge(start, a.Since(start, Announced, 0))
 	back := at(5 * time.Second)
 	a.RecordContact(back)
 	a.Replace(back, Announced, 8, nil)
-	b.Apply(back, a.Since(Announced, 2))
+	b.Merge(back, a.Since(back, Announced, 2))
 	if got := rowValues(b, back, Announced); !equal(got, []string{"u1=x"}) {
 		t.Errorf("rows of the peer are %v", got)
 	}
@@ -132,19 +132,71 @@
 	}
 }
 
+// Guards against use of upstreams that have left, on all hosts, after the reader of the store
+// was frozen or cut off: it observes an outage where the others were served all the time.
+func TestDisturbedReaderDelaysNoRemoval(t *testing.T) {
+	const (
+		drain   = 2 * time.Second // after which an upstream that left may get no call
+		contact = 3 * time.Second // after which a host that was disturbed is bound by drain
+		silence = 4 * time.Second
+	)
+	back := at(silence)
+	for _, delay := range []time.Duration{0, 800 * time.Millisecond, 1400 * time.Millisecond, LapseGrace - time.Millisecond, contact} {
+		disturbed, undisturbed := New(), New()
+		for _, m := range []*Mirror{disturbed, undisturbed} {
+			m.RecordContact(start)
+			m.Replace(start, Announced, 2, []Row{{Key: "u1", Version: 2, Value: []byte("x")}})
+		}
+		for now := start; now.Before(back.Add(delay)); now = now.Add(time.Second) {
+			undisturbed.RecordContact(now)
+		}
+		left := back.Add(delay)
+		for now := back; !now.After(left); now = now.Add(100 * time.Millisecond) {
+			disturbed.RecordContact(now)
+		}
+		disturbed.Apply(left, Delta{Table: Announced, Version: 9, Rows: []Row{{Key: "u1", Version: 9, Deleted: true}}})
+		undisturbed.Merge(left, disturbed.Since(left, Announced, 2))
+		if got := rowValues(undisturbed, left, Announced); len(got) != 0 {
+			t.Errorf("removal %v after the return of the reader: another host still uses %v", delay, got)
+		}
+		bound := left.Add(drain)
+		if inTouch := back.Add(contact); bound.Before(inTouch) {
+			bound = inTouch
+		}
+		if got := rowValues(disturbed, bound, Announced); len(got) != 0 {
+			t.Errorf("removal %v after the return of the reader: it uses %v for longer than %v", delay, got, bound.Sub(left))
+		}
+	}
+}
+
+// Guards against a mirror that takes the unknown or impossible age of a response for an outage
+// or for a response in the future.
+func TestInvalidStoreAgesAreIgnored(t *testing.T) {
+	for _, age := range []int64{-1, maxStoreAge.Milliseconds() + 1, 1 << 62, -1 << 62} {
+		m := New()
+		m.Merge(start, Delta{Table: Announced, Version: 2, StoreAgeMS: age, Rows: []Row{{Key: "u1", Version: 2}}})
+		if outage := m.RecordContact(at(time.Second)); outage != 0 {
+			t.Errorf("age %d: the first response ends an outage of %v", age, outage)
+		}
+		if outage := m.RecordContact(at(time.Second + 2*outageThreshold)); outage == 0 {
+			t.Errorf("age %d: an outage was not detected", age)
+		}
+	}
+}
+
 // Guards against a mirror that skips rows because a message with earlier rows was lost, and
 // against rows that reach a mirror only by a fetch although they were sent to it.
 func TestUpdates(t *testing.T) {
 	a := New()
 	a.Replace(start, Announced, 2, []Row{{Key: "u1", Version: 2, Value: []byte("x")}})
-	initial := a.Since(Announced, 0)
+	initial := a.Since(start, Announced, 0)
 	a.Apply(start, Delta{Table: Announced, Version: 20, Rows: []Row{
 		{Key: "u2", Version: 3, Value: []byte("y")},
 		{Key: "u3", Version: 3, Value: []byte("z")},
 		{Key: "u4", Version: 5, Value: []byte("w")},
 		{Key: "u1", Version: 8, Deleted: true},
 	}})
-	updates := a.Since(Announced, 2).Split(2, 2*(rowOverhead+3))
+	updates := a.Since(start, Announced, 2).Split(2, 2*(rowOverhead+3))
 	if len(updates) != 2 || len(updates[0].Delta.Rows) != 2 || updates[1].After != 3 {
 		t.Fatalf("updates are %+v", updates)
 	}
@@ -171,7 +223,7 @@
 			t.Errorf("%s: behind is %t", tt.name, behind)
 		}
 	}
-	if empty := New(); empty.Update(start, &updates[0]) {
+	if changed, _ := New().Update(start, &updates[0]); changed {
 		t.Error("an empty mirror applied an update")
 	}
 	large := Delta{Table: Announced, Version: 9, Rows: []Row{{Key: "u", Version: 9, Value: make([]byte, 2000)}}}
--- a/core/htmirror/row.go
+++ b/core/htmirror/row.go
@@ -28,9 +28,10 @@
 	Version int64  `cbor:"2,keyasint" json:"version"`
 	Value   []byte `cbor:"3,keyasint,omitempty" json:"value,omitempty"`
 	Deleted bool   `cbor:"4,keyasint,omitempty" json:"deleted,omitempty"`
-	// Lapsed marks a deletion that was observed while the store recovered from an outage:
-	// the row may have expired only because its writer could not reach the store.
-	Lapsed bool `cbor:"5,keyasint,omitempty" json:"lapsed,omitempty"`
+	// Lapsed marks a row that is in use although it was deleted: it may have expired only
+	// because its writer could not reach the store during an outage. Each host decides this
+	// from the responses of the store that it knows of, so it is not sent to others.
+	Lapsed bool `cbor:"-" json:"-"`
 }
 
 // Delta holds the rows of one table that changed after some version. Version is the store
@@ -39,6 +40,10 @@
 	Table   Table `cbor:"1,keyasint" json:"table"`
 	Version int64 `cbor:"2,keyasint" json:"version"`
 	Rows    []Row `cbor:"3,keyasint" json:"rows"`
+	// StoreAgeMS is the time in ms since the newest response of the store that the sender of
+	// the rows knows of, or -1 if it knows of none. It tells a receiver that the rows follow an
+	// outage of the store if they arrive before a heartbeat of the host that the store serves.
+	StoreAgeMS int64 `cbor:"4,keyasint,omitempty" json:"store-age-ms,omitempty"`
 }
 
 // Update is a part of the changes of one table that a host sends to others. It can be
@@ -72,7 +77,7 @@
 			break
 		}
 		version := rows[n-1].Version
-		parts = append(parts, Update{After: after, Delta: Delta{Table: d.Table, Version: version, Rows: rows[:n]}})
+		parts = append(parts, Update{After: after, Delta: Delta{Table: d.Table, Version: version, Rows: rows[:n], StoreAgeMS: d.StoreAgeMS}})
 		after, rows = version, rows[n:]
 	}
 	return parts
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -127,12 +127,12 @@
 	e.mu.Lock()
 	firstResponse := e.group.StoreAge(now) < 0 // since the start or since the store was lost
 	e.group.RecordStoreResponse(now)
-	e.recordStoreContact(now, "own")
+	logOutage(e.mirror.RecordContact(now), "own")
 	before := e.mirror.Versions()[t]
 	changed := apply(now)
 	var updates []htmirror.Update
 	if changed {
-		updates = e.mirror.Since(t, before).Split(before, maxUpdateBytes)
+		updates = e.mirror.Since(now, t, before).Split(before, maxUpdateBytes)
 	}
 	e.mu.Unlock()
 	if changed || !e.tablesApplied.Load() { // a table without rows was read too
@@ -150,11 +150,11 @@
 	return changed
 }
 
-// recordStoreContact records a response of the store to this host or, as heard from it, to
-// another one. The caller holds e.mu.
-func (e *Entry) recordStoreContact(at time.Time, servedHost string) {
-	if outage := e.mirror.RecordContact(at); outage > 0 {
-		logrus.WithFields(logrus.Fields{"event": "store-outage", "served": servedHost, "gap-ms": outage.Milliseconds()}).
+// logOutage logs that a response of the store ended an outage, unless outage is zero. The
+// response was to this host ("own") or to another one ("other").
+func logOutage(outage time.Duration, served string) {
+	if outage > 0 {
+		logrus.WithFields(logrus.Fields{"event": "store-outage", "served": served, "gap-ms": outage.Milliseconds()}).
 			Warn("no host was known to be served by the store; upstreams whose entries are missing now stay in use for a moment")
 	}
 }
@@ -193,7 +193,8 @@
 // but fetched later.
 func (e *Entry) applyPushedRows(now time.Time, u *htmirror.Update) {
 	e.mu.Lock()
-	changed := e.mirror.Update(now, u)
+	changed, outage := e.mirror.Update(now, u)
+	logOutage(outage, "other")
 	e.mu.Unlock()
 	if changed {
 		e.notifyRowsChanged()
@@ -234,9 +235,9 @@
 	}
 	changed := false
 	for _, d := range rows.Deltas {
-		if e.mirror.Apply(now, d) {
-			changed = true
-		}
+		deltaChanged, outage := e.mirror.Merge(now, d)
+		logOutage(outage, "other")
+		changed = changed || deltaChanged
 	}
 	e.mu.Unlock()
 	if len(rows.Members) > 0 {
@@ -270,11 +271,12 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := e.timers.Now()
 	for t, v := range after {
-		rows.Deltas = append(rows.Deltas, e.mirror.Since(htmirror.Table(t), v))
+		rows.Deltas = append(rows.Deltas, e.mirror.Since(now, htmirror.Table(t), v))
 	}
 	if starting {
-		running, silent := e.group.Others(e.timers.Now())
+		running, silent := e.group.Others(now)
 		rows.Members = append(append([]htgroup.Member{e.settings.Self}, running...), silent...)
 	}
 	return rows
--- a/io/htentry/follow_test.go
+++ b/io/htentry/follow_test.go
@@ -4,7 +4,9 @@
 	"net"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"hawthornturn/core/htcatalog"
@@ -76,3 +78,57 @@
 		}
 	})
 }
+
+// Guards against a host that keeps an upstream which has left because the reader of the store
+// was disturbed, and against one that drops running upstreams after an outage because the rows
+// reach it before any heartbeat.
+func TestHostsJudgeLapsedUpstreamsThemselves(t *testing.T) {
+	reader, second := testMember(2, 80), testMember(3, 40)
+	heartbeat := func(from htgroup.Member, sequence uint32) htgossip.Message {
+		return htgossip.Message{Origin: htgossip.PeerIDOf(from.Address.Addr()), Sequence: sequence, Status: &htgossip.Status{Domain: "a"}}
+	}
+	tests := []struct {
+		name    string
+		served  bool // the second host reads the store while the reader is silent
+		want    []string
+		wantEnd time.Duration // from the update to the end of use of the upstream
+	}{
+		{"the reader was frozen", true, []string{}, 0},
+		{"the store was down", false, []string{"1"}, htmirror.LapseGrace},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			e, _ := newCatalogTestEntry(0)
+			e.lastMessages, e.fetchSources = map[htgossip.PeerID]lastMessage{}, make(chan netip.AddrPort, 1)
+			e.mirror.Apply(time.Now(), htmirror.Delta{Table: htmirror.Announced, Version: 10, Rows: []htmirror.Row{{Key: "1", Version: 10}}})
+			receive := func(from htgroup.Member, m htgossip.Message) {
+				e.receive(from.Address, &htgossip.Datagram{Messages: []htgossip.Message{m}})
+			}
+			receive(reader, heartbeat(reader, 1))
+			for n := range uint32(4) {
+				time.Sleep(time.Second)
+				if tt.served {
+					receive(second, heartbeat(second, n))
+				}
+			}
+			update := heartbeat(reader, 2)
+			update.Status = nil
+			update.Update = &htmirror.Update{After: 10, Delta: htmirror.Delta{
+				Table: htmirror.Announced, Version: 11, Rows: []htmirror.Row{{Key: "1", Version: 11, Deleted: true}},
+			}}
+			receive(reader, update)
+			got := []string{}
+			rows, _ := e.mirror.Rows(time.Now(), htmirror.Announced)
+			for _, r := range rows {
+				got = append(got, r.Key)
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("%s: upstreams in use are %v, want %v", tt.name, got, tt.want)
+			}
+			time.Sleep(tt.wantEnd)
+			if rows, _ := e.mirror.Rows(time.Now(), htmirror.Announced); len(rows) != 0 {
+				t.Errorf("%s: %d rows in use after %v", tt.name, len(rows), tt.wantEnd)
+			}
+		})
+	}
+}
--- a/io/htentry/heartbeat.go
+++ b/io/htentry/heartbeat.go
@@ -98,9 +98,6 @@
 	for _, m := range e.group.RemoveSilent(now, removeSilentAfter) {
 		logrus.WithFields(logrus.Fields{"event": "host-forgotten", "address": m.Address}).Info("host removed: silent for too long")
 	}
-	if contact := e.group.LastStoreContact(now); !contact.IsZero() {
-		e.recordStoreContact(contact, "other")
-	}
 	graceOver := !e.lapseGraceEnd.IsZero() && !e.lapseGraceEnd.After(now)
 	e.mu.Unlock()
 	if graceOver {
@@ -250,6 +247,10 @@
 func (e *Entry) recordHeartbeat(now time.Time, origin, from netip.AddrPort, s *htgossip.Status) {
 	e.mu.Lock()
 	silent := e.group.RecordMessage(now, htgroup.Member{Name: s.Name, Address: origin, Domain: s.Domain, Capacity: s.Capacity}, s.StoreAge(), s.NextHeartbeat(), s.Leaving)
+	// An older response is that of a host that reads no more.
+	if age := s.StoreAge(); age >= 0 && age < htgroup.ReaderTimeout {
+		logOutage(e.mirror.RecordContact(now.Add(-age)), "other")
+	}
 	behind := e.mirror.Versions().Behind(s.Versions) && e.shouldFetchRows(now, origin, from)
 	e.mu.Unlock()
 	if silent {
