htmirror: count no rows in the version of a mirror that are newer than its list

Cause: a list of several pages is complete at the version of its first page, and rows of later pages may be newer. The mirror announced the newest of these as its version, so rows of earlier pages that changed in between were covered by a version but missing, and nobody sent them again: hosts fetch and push only rows after a version.

Now only rows up to the version of the list count, and only these are passed on.

Ruled out: a loss of pushed updates. The mirrors alone, without messages, show it.

Before: both cases of TestHostsThatListedLearnOfChanges fail on the parent commit.

--- a/core/htmirror/mirror.go
+++ b/core/htmirror/mirror.go
@@ -20,8 +20,8 @@
 // Mirror is a copy of the tables. It is not safe for concurrent use.
 type Mirror struct {
 	rows        [numTables]map[string]storedRow
-	versions    Versions         // version of the newest row of each table
-	cursors     [numTables]int64 // store version up to which any host has read the feed of each table
+	versions    Versions         // version of the newest row of each table, up to its cursor
+	cursors     [numTables]int64 // store version up to which the rows of each table are complete
 	lastContact time.Time        // last known response of the store to any host
 	recoveredAt time.Time        // first response of the store after the last outage
 }
@@ -42,10 +42,10 @@
 	return m
 }
 
-// Versions returns the version of the newest row of each table. Hosts compare these versions
-// to detect which of them are behind. The version of the store itself is not suitable: it
-// grows with each transaction on any table, so hosts would fetch rows although none of
-// theirs has changed.
+// Versions returns the version of the newest row of each table among those up to which the
+// mirror is complete. Hosts compare these versions to detect which of them are behind. The
+// version of the store itself is not suitable: it grows with each transaction on any table,
+// so hosts would fetch rows although none of theirs has changed.
 func (m *Mirror) Versions() Versions { return m.versions }
 
 // Cursor returns the version after which the feed of a table is to be read next, or 0 if
@@ -85,8 +85,9 @@
 	return m.recoveredAt.Add(LapseGrace)
 }
 
-// Replace applies the complete list of the rows of a table at a version, unless the mirror
-// has already applied a newer version. It reports whether anything changed.
+// Replace applies the list of the rows of a table that is complete at a version, unless the
+// mirror has already applied a newer version. Rows may be newer than version. Replace reports
+// whether anything changed.
 func (m *Mirror) Replace(now time.Time, t Table, version int64, rows []Row) bool {
 	if version < max(m.versions[t], m.cursors[t]) {
 		return false
@@ -105,7 +106,9 @@
 }
 
 // Apply applies a delta. It ignores rows that are not newer than the known ones, so that a
-// late message reverts nothing. It reports whether anything changed.
+// late message reverts nothing. Rows that are newer than the delta do not count in Versions,
+// since others of the same version or before may be missing. It reports whether anything
+// changed.
 func (m *Mirror) Apply(now time.Time, d Delta) bool {
 	if d.Table >= numTables {
 		return false
@@ -115,7 +118,9 @@
 		if m.put(now, d.Table, r) {
 			changed = true
 		}
-		m.versions[d.Table] = max(m.versions[d.Table], r.Version)
+		if r.Version <= d.Version {
+			m.versions[d.Table] = max(m.versions[d.Table], r.Version)
+		}
 	}
 	m.cursors[d.Table] = max(m.cursors[d.Table], d.Version)
 	return changed
@@ -163,14 +168,14 @@
 }
 
 // Since returns the rows of t that changed after a version, including deleted ones, in the
-// order of their versions.
+// order of their versions. It leaves out rows up to whose versions this mirror is not complete.
 func (m *Mirror) Since(now time.Time, t Table, after int64) Delta {
 	d := Delta{Table: t, Version: m.cursors[t], StoreAgeMS: -1}
 	if !m.lastContact.IsZero() {
 		d.StoreAgeMS = now.Sub(m.lastContact).Milliseconds()
 	}
 	for _, s := range m.rows[t] {
-		if s.Version > after {
+		if s.Version > after && s.Version <= d.Version {
 			d.Rows = append(d.Rows, s.Row)
 		}
 	}
--- a/core/htmirror/mirror_test.go
+++ b/core/htmirror/mirror_test.go
@@ -1,6 +1,7 @@
 package htmirror
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -242,3 +243,53 @@
 		t.Errorf("version %d, cursor %d", m.Versions()[Announced], m.Cursor(Announced))
 	}
 }
+
+// Guards against hosts that started together and of which some never learn of a change: each
+// listed the table itself, and the change came between the pages of one list.
+func TestHostsThatListedLearnOfChanges(t *testing.T) {
+	row := func(key string, version int64) Row {
+		return Row{Key: key, Version: version, Value: []byte(fmt.Sprint(version))}
+	}
+	tests := []struct {
+		name           string
+		listed         []Row // by the host, at version 2
+		readerListed   []Row // at readerVersion
+		readerVersion  int64
+		readerFollowed Delta
+		want           []string
+	}{
+		{
+			"changed between two pages",
+			[]Row{row("u1", 1), row("u2", 4)},
+			[]Row{row("u1", 3), row("u2", 4)},
+			4,
+			Delta{Version: 9},
+			[]string{"u1=3", "u2=4"},
+		},
+		{
+			"changed between two pages, and the reader has the same list",
+			[]Row{row("u1", 1), row("u2", 4)},
+			[]Row{row("u1", 1), row("u2", 4)},
+			2,
+			Delta{Version: 4, Rows: []Row{row("u1", 3), row("u2", 4)}},
+			[]string{"u1=3", "u2=4"},
+		},
+	}
+	for _, tt := range tests {
+		host, reader := New(), New()
+		host.Replace(start, Announced, 2, tt.listed)
+		reader.Replace(start, Announced, tt.readerVersion, tt.readerListed)
+		tt.readerFollowed.Table = Announced
+		reader.Apply(start, tt.readerFollowed)
+		if !host.Versions().Behind(reader.Versions()) {
+			t.Errorf("%s: the host does not detect that it is behind", tt.name)
+		}
+		host.Merge(start, reader.Since(start, Announced, host.Versions()[Announced]))
+		if got := rowValues(host, start, Announced); !equal(got, tt.want) {
+			t.Errorf("%s: rows are %v, want %v", tt.name, got, tt.want)
+		}
+		if host.Versions().Behind(reader.Versions()) {
+			t.Errorf("%s: still behind after the delta", tt.name)
+		}
+	}
+}
--- a/core/htmirror/store.go
+++ b/core/htmirror/store.go
@@ -11,7 +11,9 @@
 
 // Store reads the platform's store.
 type Store interface {
-	// List returns all rows of a table and the version at which they were read.
+	// List returns all rows of a table and the version at which the list is complete. Rows that
+	// changed while the table was read may be newer; Follow from that version on returns all
+	// such changes.
 	List(ctx context.Context, t Table) ([]Row, int64, error)
 	// Follow returns the changes after a version, and waits for one at most for the
 	// duration wait. It returns an error that wraps ErrCompacted if the history from
--- a/io/htentry/follow.go
+++ b/io/htentry/follow.go
@@ -130,10 +130,8 @@
 	logOutage(e.mirror.RecordContact(now), "own")
 	before := e.mirror.Versions()[t]
 	changed := apply(now)
-	var updates []htmirror.Update
-	if changed {
-		updates = e.mirror.Since(now, t, before).Split(before, maxUpdateBytes)
-	}
+	// The versions may grow without a change here, by rows that this host had from a list.
+	updates := e.mirror.Since(now, t, before).Split(before, maxUpdateBytes)
 	e.mu.Unlock()
 	if changed || !e.tablesApplied.Load() { // a table without rows was read too
 		e.notifyRowsChanged()
@@ -233,12 +231,13 @@
 	for _, m := range rows.Members {
 		e.group.Add(m)
 	}
-	changed := false
+	changed, before := false, e.mirror.Versions()
 	for _, d := range rows.Deltas {
 		deltaChanged, outage := e.mirror.Merge(now, d)
 		logOutage(outage, "other")
 		changed = changed || deltaChanged
 	}
+	newer := before.Behind(e.mirror.Versions())
 	e.mu.Unlock()
 	if len(rows.Members) > 0 {
 		// Their next heartbeats may be seconds away, and this host's share of the limits over
@@ -249,7 +248,7 @@
 	if changed || !e.tablesApplied.Load() {
 		e.notifyRowsChanged()
 	}
-	if changed {
+	if newer {
 		e.sendDomainHeartbeat()
 	}
 }
