htmirror: tell hosts of rows that were deleted before the reader's list

A host could use an upstream without end after its entry was deleted (DRAIN). Found by the model check that was written for the fault before; not seen in processes.

Cause: a list does not name deleted rows. If a row is deleted after the list of one host and before that of the host that goes on reading, no message ever names the deletion, and both hosts announce the same version. The same holds after a list because of dropped history. A late answer of another host could also bring a deleted row back to a host without a record of the deletion.

Now a mirror keeps the version from which on it has every deletion. Its version is not below that, an answer to a host that is behind it names the keys of all live rows, and unknown rows up to the cursor are not used.

Before: the two new cases of TestHostsThatListedLearnOfChanges fail, and TestVersionsCoverNoMissingRows fails within 10 checks.

--- a/core/htmirror/mirror.go
+++ b/core/htmirror/mirror.go
@@ -20,8 +20,9 @@
 // Mirror is a copy of the tables. It is not safe for concurrent use.
 type Mirror struct {
 	rows        [numTables]map[string]storedRow
-	versions    Versions         // version of the newest row of each table, up to its cursor
+	versions    Versions         // see the method Versions
 	cursors     [numTables]int64 // store version up to which the rows of each table are complete
+	bases       [numTables]int64 // store version from which on the mirror has every deletion of each table
 	lastContact time.Time        // last known response of the store to any host
 	recoveredAt time.Time        // first response of the store after the last outage
 }
@@ -42,10 +43,11 @@
 	return m
 }
 
-// Versions returns the version of the newest row of each table among those up to which the
-// mirror is complete. Hosts compare these versions to detect which of them are behind. The
-// version of the store itself is not suitable: it grows with each transaction on any table,
-// so hosts would fetch rows although none of theirs has changed.
+// Versions returns for each table a version up to which the mirror is complete: that of its
+// newest row or, if that is newer, of the list that it began with, since a list does not name
+// the rows that were deleted before it. Hosts compare these versions to detect which of them
+// are behind. The current version of the store is not suitable: it grows with each transaction
+// on any table, so hosts would fetch rows although none of theirs has changed.
 func (m *Mirror) Versions() Versions { return m.versions }
 
 // Cursor returns the version after which the feed of a table is to be read next, or 0 if
@@ -96,13 +98,25 @@
 	for _, r := range rows {
 		listed[r.Key] = true
 	}
-	missing := []Row{}
+	changed := m.Apply(now, Delta{Table: t, Version: version, Rows: append(m.deletionsBy(t, version, listed), rows...)})
+	m.setBase(t, version)
+	return changed
+}
+
+// deletionsBy returns deletions of the rows that a list which is complete at a version lacks.
+func (m *Mirror) deletionsBy(t Table, version int64, listed map[string]bool) []Row {
+	var deletions []Row
 	for key, s := range m.rows[t] {
-		if !listed[key] && !s.Deleted {
-			missing = append(missing, Row{Key: key, Version: version, Deleted: true})
+		if !listed[key] && !s.Deleted && s.Version <= version {
+			deletions = append(deletions, Row{Key: key, Version: version, Deleted: true})
 		}
 	}
-	return m.Apply(now, Delta{Table: t, Version: version, Rows: append(missing, rows...)})
+	return deletions
+}
+
+func (m *Mirror) setBase(t Table, version int64) {
+	m.bases[t] = version
+	m.versions[t] = max(m.versions[t], version)
 }
 
 // Apply applies a delta. It ignores rows that are not newer than the known ones, so that a
@@ -133,7 +147,26 @@
 	if d.StoreAgeMS >= 0 && d.StoreAgeMS <= maxStoreAge.Milliseconds() {
 		outage = m.RecordContact(now.Add(-time.Duration(d.StoreAgeMS) * time.Millisecond))
 	}
-	return m.Apply(now, d), outage
+	t := d.Table
+	if t >= numTables {
+		return false, outage
+	}
+	base := m.bases[t]
+	switch {
+	case m.cursors[t] == 0:
+		base = d.Base
+	case d.Base > m.versions[t]:
+		base = d.Version
+		d.Rows = append(m.deletionsBy(t, d.Version, d.liveKeys()), d.Rows...)
+	}
+	// An unknown row up to the cursor was deleted before the list that the mirror began with.
+	d.Rows = slices.DeleteFunc(slices.Clone(d.Rows), func(r Row) bool {
+		_, known := m.rows[t][r.Key]
+		return !known && r.Version <= m.cursors[t]
+	})
+	changed = m.Apply(now, d)
+	m.setBase(t, base)
+	return changed, outage
 }
 
 // Update merges rows that another host has sent, unless this mirror lacks earlier rows. Its
@@ -169,8 +202,10 @@
 
 // Since returns the rows of t that changed after a version, including deleted ones, in the
 // order of their versions. It leaves out rows up to whose versions this mirror is not complete.
+// If the mirror lacks deletions after that version, the delta names all rows that are left.
 func (m *Mirror) Since(now time.Time, t Table, after int64) Delta {
-	d := Delta{Table: t, Version: m.cursors[t], StoreAgeMS: -1}
+	d := Delta{Table: t, Version: m.cursors[t], Base: m.bases[t], StoreAgeMS: -1}
+	nameLive := after > 0 && after < d.Base
 	if !m.lastContact.IsZero() {
 		d.StoreAgeMS = now.Sub(m.lastContact).Milliseconds()
 	}
@@ -178,6 +213,9 @@
 		if s.Version > after && s.Version <= d.Version {
 			d.Rows = append(d.Rows, s.Row)
 		}
+		if nameLive && !s.Deleted {
+			d.Live = append(d.Live, s.Key)
+		}
 	}
 	slices.SortFunc(d.Rows, func(a, b Row) int {
 		if a.Version != b.Version {
--- a/core/htmirror/row.go
+++ b/core/htmirror/row.go
@@ -44,6 +44,24 @@
 	// the rows knows of, or -1 if it knows of none. It tells a receiver that the rows follow an
 	// outage of the store if they arrive before a heartbeat of the host that the store serves.
 	StoreAgeMS int64 `cbor:"4,keyasint,omitempty" json:"store-age-ms,omitempty"`
+	// Base is the version from which on the sender has every deletion. If the receiver is behind
+	// it, Rows and Live together hold the keys of all rows that are not deleted.
+	Base int64    `cbor:"5,keyasint,omitempty" json:"base,omitempty"`
+	Live []string `cbor:"6,keyasint,omitempty" json:"live,omitempty"`
+}
+
+// liveKeys returns the keys of all rows that are not deleted, if the receiver is behind Base.
+func (d Delta) liveKeys() map[string]bool {
+	live := make(map[string]bool, len(d.Live))
+	for _, key := range d.Live {
+		live[key] = true
+	}
+	for _, r := range d.Rows {
+		if !r.Deleted {
+			live[r.Key] = true
+		}
+	}
+	return live
 }
 
 // Update is a part of the changes of one table that a host sends to others. It can be
@@ -57,8 +75,12 @@
 // updates of about size bytes at most. Rows of one version stay in one update, because a
 // mirror that has one of them is assumed to have all. If the rows of one version exceed size,
 // Split leaves them and all later rows out. Hosts that receive the updates learn from the
-// versions in the next heartbeats that they are behind, and fetch the rest.
+// versions in the next heartbeats that they are behind, and fetch the rest. There are no
+// updates if the sender lacks deletions after that version.
 func (d Delta) Split(after int64, size int) []Update {
+	if d.Base > after {
+		return nil
+	}
 	var parts []Update
 	for rows := d.Rows; len(rows) > 0; {
 		n, bytes := 0, 0
