htrelay: refuse calls that a stopping host would cut

Another operator reported requests that came late in a planned stop, were passed on and then cut at the end of the grace period without an answer. It can happen here: a stopping host takes requests for up to 2.3 s, until the balancer has removed it, and cuts what is in flight 0.5 s before the end of the grace period, whatever the deadline of the call. On the platform's sites the usual work leaves room; with long work, or a short grace period, it does not.

A stopping host now refuses a call at once, with Retry-After, if less than twice the usual work time is left before the cut, refuses waiting calls in the same way, and tells upstreams a deadline that leaves time for their answer.

Ruled out: requests read after the listener was closed. net/http closes these connections without passing the request on.

Before: TestLateRequestsOfAPlannedStopAreNotCut fails (2 of 28 requests passed on and cut) without the call of Relay.Stop; after: 4 of 4 runs pass. TestStoppingHostTakesNoCallThatItWouldCut and TestWaitingCallsAreRefusedBeforeTheCut check the decisions on virtual time.

--- a/core/htcall/outcome.go
+++ b/core/htcall/outcome.go
@@ -45,5 +45,6 @@
 	ReasonBadRequest     Reason = "bad-request"      // not-run
 	ReasonUnknownService Reason = "unknown-service"  // not-run
 	ReasonNotReady       Reason = "not-ready"        // not-run; no configuration yet
+	ReasonStopping       Reason = "stopping"         // not-run; the host stops before the call would end
 	ReasonInternal       Reason = "internal-failure" // unknown
 )
--- a/core/htexplain/cause.go
+++ b/core/htexplain/cause.go
@@ -86,6 +86,8 @@
 		return fmt.Sprintf("the same request (fingerprint %s) has crashed two upstreams or more, %d of them in these logs", call.Fields["fingerprint"], h.count("crash-counted"))
 	case htcall.ReasonNotReady:
 		return "the host had no configuration yet"
+	case htcall.ReasonStopping:
+		return "the host was stopping and would probably have cut it before its answer" + retryHint
 	case htcall.ReasonUnknownService:
 		return fmt.Sprintf("no route for %s%s in the configuration in force", call.Fields["host-name"], call.Fields["uri"])
 	}
--- a/core/htrelay/queue.go
+++ b/core/htrelay/queue.go
@@ -86,9 +86,12 @@
 func (r *Relay) acquire(of *run) (*htselect.Choice, *waiter, *htselect.Refused) {
 	now := r.now()
 	route := of.call.Route
-	left := of.call.Deadline.Sub(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.cutBeforeAnswer(now, of.call) {
+		return nil, nil, &htselect.Refused{Reason: htcall.ReasonStopping, RetryAfter: freeRetryAfter}
+	}
+	left := r.timeLeft(now, of.call)
 	q := r.queues[of.service]
 	if q == nil {
 		q = &queue{}
@@ -135,7 +138,7 @@
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	choice, refused := r.selector.Choose(now, of.call.Route, of.service, of.call.Deadline.Sub(now), of.tried)
+	choice, refused := r.selector.Choose(now, of.call.Route, of.service, r.timeLeft(now, of.call), of.tried)
 	return refused == nil && choice.Good()
 }
 
@@ -158,7 +161,7 @@
 		for i := 0; i < len(q.waiters); {
 			w := q.waiters[i]
 			call := w.run.call
-			choice, refused := r.selector.Choose(now, call.Route, service, call.Deadline.Sub(now), w.run.tried)
+			choice, refused := r.selector.Choose(now, call.Route, service, r.timeLeft(now, call), w.run.tried)
 			if refused != nil {
 				return
 			}
@@ -233,7 +236,7 @@
 		return false
 	}
 	switch late := !w.onTime(now, r.selector.UsualWorkTime(call.Route)); {
-	case call.Deadline.Sub(now) < r.selector.MinWorkTime(call.Route):
+	case r.timeLeft(now, call) < r.selector.MinWorkTime(call.Route), r.cutBeforeAnswer(now, call):
 		return q.remove(w)
 	case late && now.Sub(w.since) > maxLateWait(call.Route):
 		return !r.sendIfGood(now, w) && q.remove(w)
@@ -245,7 +248,7 @@
 // call is refused while a good upstream is free. The caller holds r.mu.
 func (r *Relay) sendIfGood(now time.Time, w *waiter) bool {
 	call, service := w.run.call, w.run.service
-	choice, refused := r.selector.Choose(now, call.Route, service, call.Deadline.Sub(now), w.run.tried)
+	choice, refused := r.selector.Choose(now, call.Route, service, r.timeLeft(now, call), w.run.tried)
 	if refused != nil || !choice.Good() || !r.queues[service].remove(w) {
 		return false
 	}
--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -10,6 +10,10 @@
 	"hawthornturn/core/htselect"
 )
 
+// stopWorkFactor is the time that a stopping host must have for a new call, as a factor of the
+// usual work time, since work times vary.
+const stopWorkFactor = 2
+
 // Relay serves calls. It is safe for concurrent use.
 type Relay struct {
 	mu       sync.Mutex
@@ -21,6 +25,7 @@
 	now      func() time.Time
 	active   map[htcatalog.Ref]map[*run]bool // runs with a send in flight at the upstream
 	queues   map[string]*queue               // by service
+	stopAt   time.Time                       // when calls in flight will be cut, or zero
 }
 
 // New returns a Relay. It takes ownership of the selector, which must only be used through
@@ -117,6 +122,33 @@
 	}
 }
 
+// Stop announces that calls which are still in flight at a time will be cut. Calls that would
+// probably not have ended by then are refused from now on.
+func (r *Relay) Stop(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopAt = at
+}
+
+// deadline returns the deadline of a call or the time at which it will be cut, whichever is
+// earlier. The caller holds r.mu.
+func (r *Relay) deadline(call *Call) time.Time {
+	if !r.stopAt.IsZero() && r.stopAt.Before(call.Deadline) {
+		return r.stopAt
+	}
+	return call.Deadline
+}
+
+// timeLeft returns the time until the deadline of a call. The caller holds r.mu.
+func (r *Relay) timeLeft(now time.Time, call *Call) time.Duration { return r.deadline(call).Sub(now) }
+
+// cutBeforeAnswer reports whether a call would probably be cut by the stop of this host. The
+// caller holds r.mu.
+func (r *Relay) cutBeforeAnswer(now time.Time, call *Call) bool {
+	usual := float64(r.selector.UsualWorkTime(call.Route))
+	return !r.stopAt.IsZero() && float64(r.stopAt.Sub(now)) < stopWorkFactor*usual
+}
+
 // Serve runs a call and returns the answer for its caller. A quarantined request is
 // refused.
 func (r *Relay) Serve(ctx context.Context, call *Call) *Answer {
--- a/core/htrelay/retry.go
+++ b/core/htrelay/retry.go
@@ -26,12 +26,14 @@
 // did.
 func (r *run) retry(ctx context.Context, cause Cause) bool {
 	now := r.relay.now()
-	left := r.call.Deadline.Sub(now)
+	r.relay.mu.Lock()
+	left, cut := r.relay.timeLeft(now, r.call), r.relay.cutBeforeAnswer(now, r.call)
+	r.relay.mu.Unlock()
 	reason := ""
 	switch {
 	case !r.retryAllowed() || r.sends >= maxSends:
 		reason = noRetryAttempts
-	case r.lastChoice != nil && float64(left) < minRetryShare*float64(r.lastChoice.Work):
+	case cut, r.lastChoice != nil && float64(left) < minRetryShare*float64(r.lastChoice.Work):
 		reason = noRetryTime
 	case !r.takeToken(now, cause):
 		reason = noRetryBudget
@@ -99,7 +101,7 @@
 	}
 	now := r.relay.now()
 	r.relay.mu.Lock()
-	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
+	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.relay.timeLeft(now, r.call), r.tried)
 	r.relay.mu.Unlock()
 	// A hedge must not use the capacity that a call without any send needs.
 	if refused == nil && other.Good() && r.retry(ctx, cause) {
@@ -133,7 +135,7 @@
 	r.relay.probeBest(ctx, r.call, r.service, r.tried)
 	now = r.relay.now()
 	r.relay.mu.Lock()
-	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
+	other, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.relay.timeLeft(now, r.call), r.tried)
 	r.relay.mu.Unlock()
 	switch {
 	case refused != nil:
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -155,7 +155,7 @@
 func (r *run) send(ctx context.Context, cause Cause) *htselect.Refused {
 	now := r.relay.now()
 	r.relay.mu.Lock()
-	choice, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.call.Deadline.Sub(now), r.tried)
+	choice, refused := r.relay.selector.Choose(now, r.call.Route, r.service, r.relay.timeLeft(now, r.call), r.tried)
 	if refused == nil {
 		r.relay.recordSend(now, r, choice)
 	}
@@ -174,12 +174,15 @@
 	r.sends++
 	r.lastChoice = choice
 	r.lastSent = r.relay.now()
-	r.reportDecision(Sent{Choice: choice, Cause: cause, Number: r.sends, Left: r.call.Deadline.Sub(r.lastSent)})
+	r.relay.mu.Lock()
+	deadline := r.relay.deadline(r.call)
+	r.relay.mu.Unlock()
+	r.reportDecision(Sent{Choice: choice, Cause: cause, Number: r.sends, Left: deadline.Sub(r.lastSent)})
 	r.call.Memory.Retain()
 	go func() {
 		defer r.call.Memory.Release()
 		start := r.relay.now()
-		reply := r.relay.sender.Send(ctx, choice.Upstream, r.call.Deadline, r.call)
+		reply := r.relay.sender.Send(ctx, choice.Upstream, deadline, r.call)
 		if unusable(reply) {
 			r.reportDecision(SendFailed{Choice: choice, Reply: reply, Took: r.relay.now().Sub(start)})
 		}
--- a/io/htentry/server.go
+++ b/io/htentry/server.go
@@ -22,6 +22,8 @@
 	balancerRemovalDelay = 2300 * time.Millisecond
 	// exitReserve is the part of the grace period that is kept for the exit of the process.
 	exitReserve = 500 * time.Millisecond
+	// lastAnswersReserve is the time before calls are cut by which upstreams are told to answer.
+	lastAnswersReserve = 100 * time.Millisecond
 )
 
 func (e *Entry) newCallerServer() *http.Server {
@@ -81,15 +83,16 @@
 
 // stop performs a planned stop: readiness checks fail, the other hosts take over this host's
 // duties, and calls in flight end. Calls that still run near the end of the grace period are
-// cut.
+// cut, and new ones that would probably not have ended by then are refused.
 func (e *Entry) stop() error {
 	start := e.timers.Now()
 	e.stopping.Store(true)
+	cut := start.Add(e.settings.GracePeriod - exitReserve)
+	e.relay.Stop(cut.Add(-lastAnswersReserve))
 	logrus.WithFields(logrus.Fields{"event": "host-stopping", "grace-ms": e.settings.GracePeriod.Milliseconds()}).Info("planned stop started")
 	e.sendAllHeartbeats()
 	time.Sleep(min(balancerRemovalDelay, e.settings.GracePeriod/2))
-	remaining := e.settings.GracePeriod - exitReserve - e.timers.Now().Sub(start)
-	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
+	ctx, cancel := context.WithTimeout(context.Background(), max(cut.Sub(e.timers.Now()), 0))
 	defer cancel()
 	err := e.callerServer.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
