--- a/core/htmirror/mirror.go
+++ b/core/htmirror/mirror.go
@@ -20,7 +20,7 @@
 // Mirror is a copy of the tables. It is not safe for concurrent use.
 type Mirror struct {
 	rows        [numTables]map[string]storedRow
-	versions    Versions         // see the method Versions
+	versions    Versions         // newest version of a row or of the list it began with, see the method Versions
 	cursors     [numTables]int64 // store version up to which the rows of each table are complete
 	bases       [numTables]int64 // store version from which on the mirror has every deletion of each table
 	lastContact time.Time        // last known response of the store to any host
@@ -103,7 +103,8 @@
 	return changed
 }
 
-// deletionsBy returns deletions of the rows that a list which is complete at a version lacks.
+// deletionsBy returns deletions, at a version, of the known rows that a list of the keys at that
+// version lacks.
 func (m *Mirror) deletionsBy(t Table, version int64, listed map[string]bool) []Row {
 	var deletions []Row
 	for key, s := range m.rows[t] {
@@ -114,6 +115,7 @@
 	return deletions
 }
 
+// setBase sets the version from which on the mirror has every deletion of a table.
 func (m *Mirror) setBase(t Table, version int64) {
 	m.bases[t] = version
 	m.versions[t] = max(m.versions[t], version)
@@ -203,8 +205,9 @@
 }
 
 // Since returns the rows of t that changed after a version, including deleted ones, in the
-// order of their versions. It leaves out rows up to whose versions this mirror is not complete.
-// If the mirror lacks deletions after that version, the delta names all rows that are left.
+// order of their versions. It leaves out rows that are newer than the version up to which this
+// mirror is complete. If the mirror lacks deletions after the given version, the delta names all
+// rows that are left.
 func (m *Mirror) Since(now time.Time, t Table, after int64) Delta {
 	d := Delta{Table: t, Version: m.cursors[t], Base: m.bases[t], StoreAgeMS: -1}
 	nameLive := after > 0 && after < d.Base
