--- a/io/htentry/server.go
+++ b/io/htentry/server.go
@@ -32,6 +32,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          nil,
+		// Otherwise net/http answers "OPTIONS *" with 200, which no upstream has sent.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
