htrelay: pass no promise on that an upstream's refusal does not back

A booking that an upstream had run and answered 503, without the not-executed field, was answered 503 to the caller, who took it for the promise that it had not run and booked again (REFUSED, TWICE for the user).

Cause: the upstream's status went to the caller as it was. Now an answer with 408, 421, 429 or 503 that is no refusal becomes 502 for a call that is not idempotent, without the upstream's header and signature.

Ruled out: a second send by the host. Only refusals are sent again.

--- a/core/htcall/outcome.go
+++ b/core/htcall/outcome.go
@@ -35,6 +35,7 @@
 	ReasonRefused        Reason = "refused"          // not-run; the upstream refused the request without starting it
 	ReasonConnect        Reason = "connect-failed"   // not-run; no byte was sent
 	ReasonBroken         Reason = "broken"           // unknown; the connection failed after sending
+	ReasonFalsePromise   Reason = "false-promise"    // unknown; the upstream's status says that the call has not run, but the upstream did not refuse it
 	ReasonCanceled       Reason = "canceled"         // unknown or not-run; the caller left
 	ReasonOwnerLost      Reason = "owner-lost"       // unknown; the key's owner could not be reached
 	ReasonFenced         Reason = "fenced"           // unknown; an earlier owner may have run the key
--- a/core/htexplain/cause.go
+++ b/core/htexplain/cause.go
@@ -104,6 +104,8 @@
 		return fmt.Sprintf("upstream %s stayed up, but its answer was lost or invalid (%s)%s", upstream, h.sendFailures(), h.noRetryReason())
 	case htcall.ReasonDeadline:
 		return h.lateCause(call) + h.noRetryReason()
+	case htcall.ReasonFalsePromise:
+		return fmt.Sprintf("upstream %s answered with a status that promises that the request has not run, but did not say that it had refused it", upstream)
 	case htcall.ReasonCanceled:
 		return fmt.Sprintf("the caller canceled the request after %d ms", call.number("ms"))
 	}
--- /dev/null
+++ b/core/htrelay/answer_test.go
@@ -0,0 +1,71 @@
+package htrelay
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hawthornturn/core/htcall"
+)
+
+// Guards against an answer of an upstream that promises the caller that a call which is not
+// idempotent has not run, although the upstream has not refused it: the caller sends it again.
+func TestAnswersOfUpstreams(t *testing.T) {
+	tests := []struct {
+		reply             Reply
+		idempotent, other int // status of the answer
+	}{
+		{Answered{Status: 200}, 200, 200},
+		{Answered{Status: 201}, 201, 201},
+		{Answered{Status: 404}, 404, 404},
+		{Answered{Status: 408}, 408, 502},
+		{Answered{Status: 409}, 409, 409},
+		{Answered{Status: 421}, 421, 502},
+		{Answered{Status: 429}, 429, 502},
+		{Answered{Status: 500}, 500, 500},
+		{Answered{Status: 502}, 502, 502},
+		{Answered{Status: 503}, 503, 502},
+		{Answered{Status: 504}, 504, 504},
+		{Refused{}, 503, 503},
+		{NotSent{}, 503, 503},
+		{Broken{}, 502, 502},
+	}
+	for _, tt := range tests {
+		for _, idempotent := range []bool{true, false} {
+			want := tt.other
+			if idempotent {
+				want = tt.idempotent
+			}
+			t.Run(fmt.Sprintf("%+v/idempotent=%t", tt.reply, idempotent), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testAnswerOfUpstream(t, tt.reply, idempotent, want) })
+			})
+		}
+	}
+}
+
+func testAnswerOfUpstream(t *testing.T, reply Reply, idempotent bool, want int) {
+	w := newFixture(idempotent, after(5, reply))
+	answer := w.serve(t.Context())
+	if answer.Status != want {
+		t.Errorf("status %d, want %d", answer.Status, want)
+	}
+	_, answered := reply.(Answered)
+	if promise := promisesNotRun(answer.Status); !idempotent && promise != (answer.Outcome == htcall.NotRun) {
+		t.Errorf("status %d with outcome %s", answer.Status, answer.Outcome)
+	}
+	if sends := len(w.sender.sends()); answered && !idempotent && sends != 1 {
+		t.Errorf("sent %d times", sends)
+	}
+	time.Sleep(time.Second) // lets the remaining sends end
+}
+
+// Guards against a call that is told as unknown with the header or body of an upstream, whose
+// signature would vouch for another status.
+func TestFalsePromiseHasNothingOfTheUpstream(t *testing.T) {
+	call := &Call{Route: newFixture(false).route}
+	answer := answerFor(call, Answered{Status: 503, Header: map[string][]string{"Signature": {"s"}}, Body: []byte("x")})
+	if len(answer.Header) != 0 || len(answer.Body) != 0 || answer.RetryAfter != 0 || answer.Reason != htcall.ReasonFalsePromise {
+		t.Errorf("answer is %+v", answer)
+	}
+}
--- a/core/htrelay/run.go
+++ b/core/htrelay/run.go
@@ -204,7 +204,7 @@
 	switch reply := res.reply.(type) {
 	case Answered:
 		r.possibleRuns++
-		answer := &Answer{Outcome: htcall.Done, Status: reply.Status, Header: reply.Header, Body: reply.Body}
+		answer := answerFor(r.call, reply)
 		if reply.Status < http.StatusInternalServerError {
 			r.lastChoice = res.choice
 			return answer
