--- a/core/htrelay/answer_test.go
+++ b/core/htrelay/answer_test.go
@@ -37,13 +37,20 @@
 			if idempotent {
 				want = tt.idempotent
 			}
-			t.Run(fmt.Sprintf("%+v/idempotent=%t", tt.reply, idempotent), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/idempotent=%t", replyName(tt.reply), idempotent), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) { testAnswerOfUpstream(t, tt.reply, idempotent, want) })
 			})
 		}
 	}
 }
 
+func replyName(reply Reply) string {
+	if answered, ok := reply.(Answered); ok {
+		return fmt.Sprintf("answered-%d", answered.Status)
+	}
+	return fmt.Sprintf("%T", reply)
+}
+
 func testAnswerOfUpstream(t *testing.T, reply Reply, idempotent bool, want int) {
 	w := newFixture(idempotent, after(5, reply))
 	answer := w.serve(t.Context())
