--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -25,7 +25,7 @@
 	now      func() time.Time
 	active   map[htcatalog.Ref]map[*run]bool // runs with a send in flight at the upstream
 	queues   map[string]*queue               // by service
-	stopAt   time.Time                       // when calls in flight will be cut, or zero
+	cutAt   time.Time                       // when calls in flight will be cut, or zero
 }
 
 // New returns a Relay. It takes ownership of the selector, which must only be used through
@@ -122,19 +122,19 @@
 	}
 }
 
-// Stop announces that calls which are still in flight at a time will be cut. Calls that would
+// CutAt announces that calls which are still in flight at a time will be cut. Calls that would
 // probably not have ended by then are refused from now on.
-func (r *Relay) Stop(at time.Time) {
+func (r *Relay) CutAt(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stopAt = at
+	r.cutAt = at
 }
 
 // deadline returns the deadline of a call or the time at which it will be cut, whichever is
 // earlier. The caller holds r.mu.
 func (r *Relay) deadline(call *Call) time.Time {
-	if !r.stopAt.IsZero() && r.stopAt.Before(call.Deadline) {
-		return r.stopAt
+	if !r.cutAt.IsZero() && r.cutAt.Before(call.Deadline) {
+		return r.cutAt
 	}
 	return call.Deadline
 }
@@ -146,7 +146,7 @@
 // caller holds r.mu.
 func (r *Relay) cutBeforeAnswer(now time.Time, call *Call) bool {
 	usual := float64(r.selector.UsualWorkTime(call.Route))
-	return !r.stopAt.IsZero() && float64(r.stopAt.Sub(now)) < stopWorkFactor*usual
+	return !r.cutAt.IsZero() && float64(r.cutAt.Sub(now)) < stopWorkFactor*usual
 }
 
 // Serve runs a call and returns the answer for its caller. A quarantined request is
--- a/core/htrelay/stop_test.go
+++ b/core/htrelay/stop_test.go
@@ -34,7 +34,7 @@
 			before := len(w.sender.sends())
 			start := time.Now()
 			if tt.left != 0 {
-				w.relay.Stop(start.Add(tt.left))
+				w.relay.CutAt(start.Add(tt.left))
 			}
 			answer := w.serve(t.Context())
 			if answer.Status != tt.status {
@@ -63,7 +63,7 @@
 		}
 		const cut = 150 * time.Millisecond
 		start := time.Now()
-		w.relay.Stop(start.Add(cut))
+		w.relay.CutAt(start.Add(cut))
 		answer := w.serve(t.Context())
 		if took := time.Since(start); answer.Outcome != htcall.NotRun || answer.Status != 503 || took >= cut {
 			t.Errorf("status %d (%s) after %v, want a refusal before %v", answer.Status, answer.Reason, took, cut)
--- a/io/htentry/server.go
+++ b/io/htentry/server.go
@@ -90,7 +90,7 @@
 	start := e.timers.Now()
 	e.stopping.Store(true)
 	cut := start.Add(e.settings.GracePeriod - exitReserve)
-	e.relay.Stop(cut.Add(-lastAnswersReserve))
+	e.relay.CutAt(cut.Add(-lastAnswersReserve))
 	logrus.WithFields(logrus.Fields{"event": "host-stopping", "grace-ms": e.settings.GracePeriod.Milliseconds()}).Info("planned stop started")
 	e.sendAllHeartbeats()
 	time.Sleep(min(balancerRemovalDelay, e.settings.GracePeriod/2))
