--- a/core/htrelay/relay.go
+++ b/core/htrelay/relay.go
@@ -25,7 +25,7 @@
 	now      func() time.Time
 	active   map[htcatalog.Ref]map[*run]bool // runs with a send in flight at the upstream
 	queues   map[string]*queue               // by service
-	cutAt   time.Time                       // when calls in flight will be cut, or zero
+	cutAt    time.Time                       // when calls in flight will be cut, or zero
 }
 
 // New returns a Relay. It takes ownership of the selector, which must only be used through
