--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -100,6 +100,7 @@
 	h.process = exec.Command(r.program, "serve", "--metrics-port", "9464")
 	h.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "HAWTHORNTURN_NODE_FILE=" + path}
 	h.process.Stdout, h.process.Stderr = h.log, h.log
+	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this process is killed
 	if err := h.process.Start(); err != nil {
 		return nil, err
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -57,13 +57,6 @@
 	s.write(row{Table: table, Key: key, Value: data})
 }
 
-// remove removes a row with an empty part.
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.write(row{Table: table, Key: key, Deleted: true})
-}
-
 // write stores rows at the next version. The caller holds s.mu.
 func (s *store) write(rows ...row) {
 	s.ver++
